--- a/crates/bench/src/placement.rs
+++ b/crates/bench/src/placement.rs
@@ -157,6 +157,7 @@
     fn view(&self, me: &str, loads: &Loads, late: &BTreeMap<VmId, f64>, budget: usize) -> LoadView {
         let own = self.fleet.units_of(me);
         LoadView {
+            tolerance: None,
             budget,
             peer_loads: late.clone(),
             stopping: false,
@@ -174,6 +175,7 @@
             moved.push(UnitFence { fence, unit });
         }
         Ok(Body::Move {
+            handovers: BTreeMap::new(),
             from: from.to_owned(),
             incarnation: self.member(from)?.incarnation,
             to_incarnation: self.member(&to)?.incarnation,
@@ -269,6 +271,8 @@
     let zone = index % 12;
     Ok(Join {
         connections: 130,
+        instance: String::new(),
+        lease_ms: 2_000,
         peer: format!("10.0.{}.{}:7000", index / 250, index % 250).parse()?,
         region: format!("region-{}", zone / 4),
         service: SERVICE.to_owned(),
@@ -288,9 +292,11 @@
     let service = Service {
         routes: vec![route],
         shards,
+        ..Service::default()
     };
     Plans {
         plans: BTreeMap::new(),
         services: [(SERVICE.to_owned(), service)].into(),
+        ..Plans::default()
     }
 }
--- a/crates/cluster/src/body.rs
+++ b/crates/cluster/src/body.rs
@@ -1,9 +1,12 @@
 //! What a record states.
 
+use std::collections::BTreeMap;
+
 use config::KeyHash;
 use ids::Incarnation;
 use ids::Offset;
 use ids::ServiceId;
+use ids::Unit;
 use ids::VmId;
 use ids::WorkspaceId;
 use ids::ZoneId;
@@ -40,7 +43,8 @@
         /// Hash of the key.
         hash: KeyHash,
     },
-    /// Adds a member, and ends every member of the same VM or at the same peer address.
+    /// Adds a member, and ends every member of the same VM or at the same peer address. The units of a former life of
+    /// the same VM and service stay there, under a new fence.
     ///
     /// The writer states that the process of such a member is gone, as its port was free, and that
     /// the local upstream has revoked or outlived all grants of it.
@@ -68,6 +72,9 @@
         to: VmId,
         /// Life of the next owner.
         to_incarnation: Incarnation,
+        /// What the upstream of the next owner needs to continue where the present one ended, by unit.
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+        handovers: BTreeMap<Unit, String>,
         /// Units with the fences under which the present owner holds them.
         units: Vec<UnitFence>,
     },
--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::ops::Bound;
 
 use config::KeyHash;
+use config::Manifest;
 use config::Plan;
 use config::Plans;
 use config::Workspaces;
@@ -25,6 +27,9 @@
     pub(crate) keys: BTreeMap<KeyHash, WorkspaceId>,
     pub(crate) plans: Plans,
     pub(crate) plans_version: Offset,
+    /// Revision of the manifest in force, 0 when documents are published apart.
+    #[serde(default)]
+    pub(crate) revision: u64,
     /// Numbers of shards of all services that were ever declared, which never change.
     shards: BTreeMap<ServiceId, u32>,
     upstreams: BTreeMap<VmId, Switch>,
@@ -43,6 +48,7 @@
         document: Document,
     ) -> Result<(), String> {
         match document {
+            Document::Manifest(manifest) => self.publish_manifest(offset, *manifest)?,
             Document::Plans(plans) => self.publish_plans(offset, base, plans)?,
             Document::Workspaces(workspaces) => {
                 self.publish_workspaces(offset, base, workspaces)?;
@@ -52,6 +58,43 @@
         Ok(())
     }
 
+    /// Puts a manifest into force. Its revision takes the place of a base.
+    fn publish_manifest(&mut self, offset: Offset, manifest: Manifest) -> Result<(), String> {
+        let Manifest {
+            plans,
+            revision,
+            workspaces,
+        } = manifest;
+        if revision <= self.revision {
+            return Err(format!(
+                "revision {revision} is not above {}, which is in force: publish a later one",
+                self.revision
+            ));
+        }
+        plans.check().map_err(|error| error.to_string())?;
+        workspaces
+            .check(&plans)
+            .map_err(|error| error.to_string())?;
+        self.check_shards(&plans)?;
+        for (service, declared) in &plans.services {
+            self.shards.insert(service.clone(), declared.shards);
+        }
+        let keys = workspaces.workspaces.iter();
+        self.keys = keys
+            .flat_map(|(name, workspace)| {
+                let hashes = workspace.keys.iter();
+                hashes.map(|hash| (hash.clone(), name.clone()))
+            })
+            .collect();
+        self.withdrawn.clear();
+        self.plans = plans;
+        self.plans_version = offset;
+        self.revision = revision;
+        self.workspaces = workspaces;
+        self.workspaces_version = offset;
+        Ok(())
+    }
+
     fn publish_plans(&mut self, offset: Offset, base: Offset, plans: Plans) -> Result<(), String> {
         check_base(base, self.plans_version)?;
         plans.check().map_err(|error| error.to_string())?;
@@ -170,6 +213,11 @@
         Ok(())
     }
 
+    pub(crate) fn zones_out(&self) -> impl Iterator<Item = &ZoneId> {
+        let zones = self.zones.iter();
+        zones.filter(|(_, switch)| switch.out).map(|(zone, _)| zone)
+    }
+
     pub(crate) fn zone(&self, zone: &str) -> Switch {
         self.zones.get(zone).copied().unwrap_or_default()
     }
@@ -188,6 +236,13 @@
         self.withdrawn.contains(hash)
     }
 
+    pub(crate) fn has_key(&self, prefix: &str) -> bool {
+        let from = Bound::Included(prefix);
+        let mut keys = self.keys.range::<str, _>((from, Bound::Unbounded));
+        keys.next()
+            .is_some_and(|(hash, _)| hash.as_str().starts_with(prefix))
+    }
+
     pub(crate) fn workspace_of(&self, hash: &KeyHash) -> Option<&WorkspaceId> {
         self.keys
             .get_key_value(hash)
--- a/crates/cluster/src/document.rs
+++ b/crates/cluster/src/document.rs
@@ -1,5 +1,6 @@
 //! A published document.
 
+use config::Manifest;
 use config::Plans;
 use config::Workspaces;
 use serde::Deserialize;
@@ -9,6 +10,8 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Document {
+    /// Everything that operators declare, in force in place of all that was published before.
+    Manifest(Box<Manifest>),
     /// Services and plans.
     Plans(Plans),
     /// Workspaces.
--- a/crates/cluster/src/fleet.rs
+++ b/crates/cluster/src/fleet.rs
@@ -12,6 +12,7 @@
 use ids::Unit;
 use ids::VmId;
 use ids::WorkspaceId;
+use ids::ZoneId;
 
 use crate::Member;
 use crate::Ownership;
@@ -118,6 +119,11 @@
         &self.configuration.plans
     }
 
+    /// Returns the revision of the manifest in force, 0 when documents are published apart.
+    pub fn revision(&self) -> u64 {
+        self.configuration.revision
+    }
+
     /// Returns the offset of the publication of the plans in force, 0 before the first.
     pub fn plans_version(&self) -> Offset {
         self.configuration.plans_version
@@ -172,7 +178,13 @@
     }
 
     pub(crate) fn shard_of(&self, service: &ServiceId, key: &str) -> Option<Unit> {
-        let shards = self.plans().services.get(service)?.shards;
+        let declared = self.plans().services.get(service)?;
+        if declared.numeric_keys.is_some() {
+            let index = declared.shard_of_number(key)?;
+            let service = service.clone();
+            return Some(Unit::Shard { service, index });
+        }
+        let shards = declared.shards;
         if shards == 0 {
             return None;
         }
@@ -205,6 +217,11 @@
         self.configuration.is_withdrawn(hash)
     }
 
+    /// Tells whether a tenant key is in force whose hash begins with `prefix`.
+    pub fn has_key(&self, prefix: &str) -> bool {
+        self.configuration.has_key(prefix)
+    }
+
     /// Returns the workspace of a tenant key that is in force.
     pub fn workspace_of(&self, hash: &KeyHash) -> Option<&WorkspaceId> {
         self.configuration.workspace_of(hash)
@@ -225,6 +242,11 @@
         self.configuration.zone(zone).out
     }
 
+    /// Returns the availability zones that are taken out of service.
+    pub fn zones_out(&self) -> impl Iterator<Item = &ZoneId> {
+        self.configuration.zones_out()
+    }
+
     /// Returns the offset of the record that last changed a zone's state, 0 for none.
     pub fn zone_version(&self, zone: &str) -> Offset {
         self.configuration.zone(zone).version
--- a/crates/cluster/src/fold.rs
+++ b/crates/cluster/src/fold.rs
@@ -48,8 +48,12 @@
                 incarnation,
                 to,
                 to_incarnation,
+                handovers,
                 units,
-            } => self.move_units(offset, (&from, incarnation), (&to, to_incarnation), &units),
+            } => {
+                let to = (&to, to_incarnation);
+                self.move_units(offset, (&from, incarnation), to, &units, &handovers)
+            }
             Body::Pin {
                 vm,
                 incarnation,
--- a/crates/cluster/src/fold_members.rs
+++ b/crates/cluster/src/fold_members.rs
@@ -14,6 +14,7 @@
 use crate::Fleet;
 use crate::Join;
 use crate::Member;
+use crate::Ownership;
 use crate::Suspicion;
 use crate::roster::Ended;
 use crate::switch::check_base;
@@ -29,17 +30,54 @@
     pub(crate) fn join(&mut self, offset: Offset, join: Join) -> Result<Vec<Change>, String> {
         check_join(&join)?;
         let mut changes = Vec::new();
+        let kept = self.keep_units(&join);
         let ended = self.roster.replace(offset, &join);
         self.settle(offset, ended, &mut changes);
         changes.push(Change::MemberJoined {
             incarnation: offset,
             vm: join.vm.clone(),
         });
+        self.give_back(offset, &join.vm, kept, &mut changes);
         self.roster.join(offset, join);
         self.assign_unowned(offset, &mut changes);
         Ok(changes)
     }
 
+    /// Takes the units that a former life of the same VM leaves to the new one, with their waits.
+    fn keep_units(&mut self, join: &Join) -> Vec<(Unit, u64)> {
+        let former = self.roster.members().get(&join.vm);
+        if former.is_none_or(|former| former.join.service != join.service) {
+            return Vec::new();
+        }
+        self.units.take(&join.vm)
+    }
+
+    fn give_back(
+        &mut self,
+        offset: Offset,
+        vm: &VmId,
+        kept: Vec<(Unit, u64)>,
+        changes: &mut Vec<Change>,
+    ) {
+        for (unit, wait_ms) in kept {
+            let ownership = Ownership {
+                fence: offset,
+                handover: String::new(),
+                incarnation: offset,
+                vm: vm.clone(),
+                wait_ms,
+            };
+            self.units.set_owner(unit.clone(), ownership);
+            changes.push(Change::UnitReassigned {
+                fence: offset,
+                from: Some(vm.clone()),
+                to: Some(vm.clone()),
+                unit,
+                wait_ms,
+            });
+        }
+    }
+
     pub(crate) fn leave(
         &mut self,
         offset: Offset,
@@ -168,7 +206,16 @@
                     services.get(service).unwrap_or(&nobody)
                 }
             };
-            let change = self.units.assign(fence, &unit, from.as_ref(), candidates);
+            let is_range = |service: &ServiceId| {
+                let declared = self.configuration.plans.services.get(service);
+                declared.is_some_and(|declared| declared.numeric_keys.is_some())
+            };
+            let change = match &unit {
+                Unit::Shard { service, .. } if is_range(service) => {
+                    self.units.stripe(fence, &unit, from.as_ref(), candidates)
+                }
+                _ => self.units.assign(fence, &unit, from.as_ref(), candidates),
+            };
             changes.extend(change.or_else(|| unowned_change(fence, unit, from)));
         }
     }
--- a/crates/cluster/src/fold_units.rs
+++ b/crates/cluster/src/fold_units.rs
@@ -1,5 +1,7 @@
 //! Effects of records by which owners pass on and pin their units.
 
+use std::collections::BTreeMap;
+
 use ids::Fence;
 use ids::Incarnation;
 use ids::Offset;
@@ -25,6 +27,7 @@
         (from, incarnation): (&VmId, Incarnation),
         (to, to_incarnation): (&VmId, Incarnation),
         units: &[UnitFence],
+        handovers: &BTreeMap<Unit, String>,
     ) -> Result<Vec<Change>, String> {
         self.check_alive(from, incarnation)?;
         self.check_alive(to, to_incarnation)?;
@@ -34,7 +37,9 @@
                 && self.may_receive(to, &held.unit)
                 && from != to;
             if movable {
-                changes.push(self.hand_over(offset, from, (to, to_incarnation), &held.unit));
+                let handover = handovers.get(&held.unit).cloned().unwrap_or_default();
+                let to = (to, to_incarnation);
+                changes.push(self.hand_over(offset, from, to, &held.unit, handover));
             }
         }
         if changes.is_empty() {
@@ -52,9 +57,11 @@
         from: &VmId,
         (to, incarnation): (&VmId, Incarnation),
         unit: &Unit,
+        handover: String,
     ) -> Change {
         let ownership = Ownership {
             fence,
+            handover,
             incarnation,
             vm: to.clone(),
             wait_ms: 0,
@@ -91,6 +98,7 @@
         let wait_ms = self.units.owner(&shard).map_or(0, |owner| owner.wait_ms);
         let ownership = Ownership {
             fence: offset,
+            handover: String::new(),
             incarnation,
             vm: vm.clone(),
             wait_ms,
--- a/crates/cluster/src/load_view.rs
+++ b/crates/cluster/src/load_view.rs
@@ -15,6 +15,9 @@
     pub peer_loads: BTreeMap<VmId, f64>,
     /// Whether the member is about to stop and passes everything on.
     pub stopping: bool,
+    /// Part of its fair share by which the load of a member may differ before units are moved, or `None` for a tenth
+    /// above and a seventh below.
+    pub tolerance: Option<f64>,
     /// Loads of the member's own units, where a unit that is left out is idle, but for a pinned key,
     /// whose load is not known yet. Empty if loads are unknown, so that units count alike.
     pub unit_loads: BTreeMap<Unit, f64>,
--- a/crates/cluster/src/ownership.rs
+++ b/crates/cluster/src/ownership.rs
@@ -24,6 +24,9 @@
 pub struct Ownership {
     /// Offset of the record that decided the owner.
     pub fence: Fence,
+    /// What the upstream of the last owner gave on for the next one, empty for a unit that came otherwise.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub handover: String,
     /// Life of the owner.
     pub incarnation: Incarnation,
     /// The owner.
--- a/crates/cluster/src/plan_moves.rs
+++ b/crates/cluster/src/plan_moves.rs
@@ -232,7 +232,10 @@
             .sum();
         eligible().all(|node| {
             let share = total * f64::from(node.member.join.slots) / slots;
-            (LOAD_ATTRACTION * share..=LOAD_TOLERANCE * share).contains(&node.load)
+            let tolerance = self.view.tolerance;
+            let low = tolerance.map_or(LOAD_ATTRACTION, |part| 1.0 - part);
+            let high = tolerance.map_or(LOAD_TOLERANCE, |part| 1.0 + part);
+            (low * share..=high * share).contains(&node.load)
         })
     }
 }
--- a/crates/cluster/src/roster.rs
+++ b/crates/cluster/src/roster.rs
@@ -15,6 +15,7 @@
 use crate::evidence::Evidence;
 use crate::supervision::Supervision;
 use crate::supervision::Verdict;
+use crate::timing::LEASE_MS;
 use crate::timing::full_wait_ms;
 
 /// The members and what decides about their leases.
@@ -33,7 +34,30 @@
     pub(crate) wait_ms: u64,
 }
 
+/// What the end of a member means for those that it is a witness of.
+#[derive(Clone, Copy)]
+enum Spread {
+    /// It has stopped.
+    Gone,
+    /// It has contact for at most the time given, in milliseconds, and may renew until then.
+    Lost(u64),
+}
+
+impl Spread {
+    fn evidence(self, lease_ms: u64) -> Evidence {
+        match self {
+            Self::Gone => Evidence::Gone(full_wait_ms(lease_ms)),
+            Self::Lost(contact_wait_ms) => Evidence::Lost(contact_wait_ms + full_wait_ms(lease_ms)),
+        }
+    }
+}
+
 impl Roster {
+    fn full_wait_ms(&self, vm: &str) -> u64 {
+        let member = self.members.get(vm);
+        full_wait_ms(member.map_or(LEASE_MS, |member| member.join.lease_ms))
+    }
+
     pub(crate) fn members(&self) -> &BTreeMap<VmId, Member> {
         &self.members
     }
@@ -101,12 +125,11 @@
     /// Ends a member whose process has stopped, and every member that this decides about.
     pub(crate) fn end(&mut self, offset: Offset, vm: &VmId, reason: EndReason) -> Vec<Ended> {
         let wait_ms = match reason {
-            EndReason::DeclaredLost => full_wait_ms(),
+            EndReason::DeclaredLost => self.full_wait_ms(vm),
             EndReason::Left | EndReason::Lost | EndReason::Replaced => 0,
         };
         let mut ended = Vec::new();
-        let evidence = Some(Evidence::Gone(full_wait_ms()));
-        self.remove(offset, vm, reason, wait_ms, evidence, &mut ended);
+        self.remove(offset, vm, reason, wait_ms, Some(Spread::Gone), &mut ended);
         ended
     }
 
@@ -127,7 +150,9 @@
             if self.alive(&suspicion.vm, suspicion.incarnation).is_none() {
                 continue;
             }
-            let wait_ms = full_wait_ms().saturating_sub(suspicion.last_renewed_ago_ms);
+            let wait_ms = self
+                .full_wait_ms(&suspicion.vm)
+                .saturating_sub(suspicion.last_renewed_ago_ms);
             let evidence = Evidence::Suspected(wait_ms);
             if self.add_evidence(&suspicion.vm, witness, incarnation, evidence) {
                 changes.push(Change::Suspected {
@@ -178,8 +203,8 @@
             contact_wait_ms,
             lease_wait_ms,
         } = verdict;
-        let evidence = contact_wait_ms.map(|wait_ms| Evidence::Lost(wait_ms + full_wait_ms()));
-        self.remove(offset, vm, EndReason::Lost, lease_wait_ms, evidence, ended);
+        let spread = contact_wait_ms.map(Spread::Lost);
+        self.remove(offset, vm, EndReason::Lost, lease_wait_ms, spread, ended);
     }
 
     fn remove(
@@ -188,7 +213,7 @@
         vm: &VmId,
         reason: EndReason,
         wait_ms: u64,
-        evidence: Option<Evidence>,
+        spread: Option<Spread>,
         ended: &mut Vec<Ended>,
     ) {
         let Some(member) = self.members.remove(vm) else {
@@ -201,8 +226,8 @@
             vm: vm.clone(),
             wait_ms,
         });
-        if let Some(evidence) = evidence {
-            self.spread_evidence(offset, &member, evidence, ended);
+        if let Some(spread) = spread {
+            self.spread_evidence(offset, &member, spread, ended);
         }
         self.dismiss_witnesses_of_last(offset, &member);
     }
@@ -211,14 +236,16 @@
         &mut self,
         offset: Offset,
         witness: &Member,
-        evidence: Evidence,
+        spread: Spread,
         ended: &mut Vec<Ended>,
     ) {
         let vm = &witness.join.vm;
+        let members = &self.members;
         let watched: Vec<VmId> = self
             .supervisions
             .iter_mut()
             .filter_map(|(watched, supervision)| {
+                let evidence = spread.evidence(members.get(watched)?.join.lease_ms);
                 let added = supervision.add(vm, witness.incarnation, evidence);
                 added.then(|| watched.clone())
             })
--- a/crates/cluster/src/snapshot.rs
+++ b/crates/cluster/src/snapshot.rs
@@ -171,6 +171,7 @@
         for Holding(fence, wait_ms, set) in group {
             let ownership = Ownership {
                 fence,
+                handover: String::new(),
                 incarnation: member.incarnation,
                 vm: vm.clone(),
                 wait_ms,
--- a/crates/cluster/src/units.rs
+++ b/crates/cluster/src/units.rs
@@ -13,6 +13,12 @@
 use crate::rank::hash;
 use crate::rank::rank;
 
+/// Candidates up to which neighbouring ranges are kept together.
+const FEW_CANDIDATES: usize = 2;
+
+/// Ranges that are kept together.
+const NEIGHBOURS: u32 = 4;
+
 /// All units, each with its owner or without one.
 ///
 /// A unit is never forgotten once it exists, except for a pinned key that its owner returns to
@@ -159,6 +165,70 @@
         orphans
     }
 
+    /// Takes all units from a member, each with its wait in milliseconds, for the next life of the member.
+    pub(crate) fn take(&mut self, vm: &str) -> Vec<(Unit, u64)> {
+        let units = self.held.remove(vm).unwrap_or_default().into_iter();
+        units
+            .filter_map(|unit| {
+                let ownership = self.owners.remove(&unit)?;
+                Some((unit, ownership.wait_ms))
+            })
+            .collect()
+    }
+
+    /// Gives a unit without an owner to the candidate with the fewest units for its slots.
+    ///
+    /// Ranges of neighbouring keys given in order so alternate between the candidates.
+    pub(crate) fn stripe(
+        &mut self,
+        fence: Fence,
+        unit: &Unit,
+        from: Option<&VmId>,
+        candidates: &[Candidate<'_>],
+    ) -> Option<Change> {
+        let subject = hash(&unit.to_string());
+        let level = |candidate: &Candidate<'_>| {
+            let units = self.keyed_count_of(&candidate.member.join.vm) + 1;
+            units as f64 / f64::from(candidate.member.join.slots)
+        };
+        let order = |a: &&Candidate<'_>, b: &&Candidate<'_>| {
+            let by_level = level(a).total_cmp(&level(b));
+            by_level.then_with(|| b.rank(subject).total_cmp(&a.rank(subject)))
+        };
+        let heir = match self.neighbour_of(fence, unit, candidates) {
+            Some(neighbour) => neighbour,
+            None => candidates.iter().min_by(order)?.member,
+        };
+        self.give(fence, unit, from, heir)
+    }
+
+    /// Returns the owner of the range before a unit, if both are given by one record to few candidates. The ranges of
+    /// one owner are then few as well.
+    fn neighbour_of<'a>(
+        &self,
+        fence: Fence,
+        unit: &Unit,
+        candidates: &[Candidate<'a>],
+    ) -> Option<&'a Member> {
+        let Unit::Shard { service, index } = unit else {
+            return None;
+        };
+        if candidates.len() > FEW_CANDIDATES || index % NEIGHBOURS == 0 {
+            return None;
+        }
+        let service = service.clone();
+        let before = Unit::Shard {
+            service,
+            index: index - 1,
+        };
+        let owner = self
+            .owners
+            .get(&before)
+            .filter(|owner| owner.fence == fence)?;
+        let mut candidates = candidates.iter().map(|candidate| candidate.member);
+        candidates.find(|member| member.join.vm == owner.vm)
+    }
+
     /// Gives a unit without an owner to the candidate that ranks highest.
     pub(crate) fn assign(
         &mut self,
@@ -172,11 +242,22 @@
             .iter()
             .max_by(|a, b| a.rank(subject).total_cmp(&b.rank(subject)))?
             .member;
+        self.give(fence, unit, from, heir)
+    }
+
+    fn give(
+        &mut self,
+        fence: Fence,
+        unit: &Unit,
+        from: Option<&VmId>,
+        heir: &Member,
+    ) -> Option<Change> {
         let wait_ms = *self.unowned.get(unit)?;
         self.set_owner(
             unit.clone(),
             Ownership {
                 fence,
+                handover: String::new(),
                 incarnation: heir.incarnation,
                 vm: heir.join.vm.clone(),
                 wait_ms,
--- a/crates/cluster/tests/fold.rs
+++ b/crates/cluster/tests/fold.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use cluster::Body;
 use cluster::Fleet;
 use cluster::Outcome;
@@ -122,6 +124,7 @@
         unit: unit.clone(),
     });
     Some(Body::Move {
+        handovers: BTreeMap::new(),
         from: from.clone(),
         incarnation: seen.members().get(from)?.incarnation,
         to: to.clone(),
--- a/crates/cluster/tests/outcomes.rs
+++ b/crates/cluster/tests/outcomes.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use cluster::Body;
 use cluster::Fleet;
 use cluster::Outcome;
@@ -112,6 +114,7 @@
             .clone(),
     };
     let move_of = |to: &str, to_incarnation, unit| Body::Move {
+        handovers: BTreeMap::new(),
         from: vm(1),
         incarnation: 4,
         to: to.to_owned(),
@@ -171,6 +174,7 @@
         key: "hot".to_owned(),
     };
     let pass = |from: usize, to: usize, fence| Body::Move {
+        handovers: BTreeMap::new(),
         from: vm(from),
         incarnation: 3 + from as u64,
         to: vm(to),
--- a/crates/cluster/tests/planner.rs
+++ b/crates/cluster/tests/planner.rs
@@ -84,6 +84,7 @@
         unit: unit.clone(),
     });
     Body::Move {
+        handovers: BTreeMap::new(),
         from: from.to_owned(),
         incarnation: log.incarnation(from),
         to: to.to_owned(),
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+use std::collections::BTreeMap;
+
 use cluster::Body;
 use cluster::Change;
 use cluster::Document;
@@ -114,6 +116,7 @@
             })
             .collect();
         self.append(Body::Move {
+            handovers: BTreeMap::new(),
             from: from.to_owned(),
             incarnation: self.incarnation(from),
             to: to.to_owned(),
@@ -143,6 +146,8 @@
 pub(crate) fn join(index: usize, zone: &str) -> Body {
     Body::Join(Join {
         connections: 130,
+        instance: String::new(),
+        lease_ms: 2_000,
         peer: format!("10.0.{}.{}:7000", index / 250, index % 250)
             .parse()
             .expect("the address is well-formed"),
@@ -178,6 +183,7 @@
             (*name).to_owned(),
             config::Workspace {
                 plan: "gold".to_owned(),
+                ..config::Workspace::default()
             },
         );
     }
--- a/crates/cluster/tests/witnesses.rs
+++ b/crates/cluster/tests/witnesses.rs
@@ -256,6 +256,7 @@
     let unit = log.fleet.unit_of(&service, &key).expect("a keyed service");
     let fence = log.fleet.owner(&unit).expect("an owner").fence;
     log.applied(Body::Move {
+        handovers: BTreeMap::new(),
         from: vm(0),
         incarnation: 3,
         to: vm(1),
--- /dev/null
+++ b/crates/config/src/host_route.rs
@@ -0,0 +1,51 @@
+//! A route that callers reach by host and path.
+
+use std::time::Duration;
+
+use ids::ServiceId;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Requests to a host that are treated alike.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostRoute {
+    /// Most upstreams that one request may be sent to.
+    pub attempts: u32,
+    /// Whether a request may run more than once with the same effect as once.
+    pub idempotent: bool,
+    /// Whether the route is open to callers without a tenant key.
+    pub open: bool,
+    /// Start of the path.
+    pub prefix: String,
+    /// Rank of the requests, 0 for the most urgent.
+    pub priority: u32,
+    /// Time within which an answer is worth most, in milliseconds.
+    pub target_latency_ms: u64,
+    /// Services that share the requests.
+    pub targets: Vec<WeightedTarget>,
+    /// Longest time that a caller waits, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+/// A service with its share of the requests of a route.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WeightedTarget {
+    /// The service.
+    pub service: ServiceId,
+    /// Share, relative to the other targets of the route.
+    pub weight: u32,
+}
+
+impl HostRoute {
+    /// Returns the longest time that a caller waits.
+    pub fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms)
+    }
+
+    /// Returns the time within which an answer is worth most.
+    pub fn target_latency(&self) -> Duration {
+        Duration::from_millis(self.target_latency_ms)
+    }
+}
--- a/crates/config/src/key_hash.rs
+++ b/crates/config/src/key_hash.rs
@@ -1,5 +1,7 @@
 //! Hashes of tenant keys.
 
+use std::borrow::Borrow;
+
 use serde::Deserialize;
 use serde::Serialize;
 use subtle::ConstantTimeEq;
@@ -7,6 +9,9 @@
 /// Length of a hash as hexadecimal text, in bytes.
 const HASH_DIGITS: usize = 64;
 
+/// Length of the start of a hash by which messages name it, in bytes.
+const PREFIX_DIGITS: usize = 16;
+
 /// Hash of a tenant key, the only form in which a key is published or stored.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -29,6 +34,11 @@
         self.0.as_bytes().ct_eq(other.0.as_bytes()).into()
     }
 
+    /// Returns the first digits of the hash, which tell the keys of a fleet apart.
+    pub fn prefix(&self) -> &str {
+        &self.0[..PREFIX_DIGITS.min(self.0.len())]
+    }
+
     /// Returns the hash as hexadecimal text.
     pub fn as_str(&self) -> &str {
         &self.0
@@ -40,3 +50,9 @@
         self.0.len() == HASH_DIGITS && self.0.bytes().all(is_digit)
     }
 }
+
+impl Borrow<str> for KeyHash {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,8 +1,12 @@
 //! Documents that operators publish: plans with the services they grant, and workspaces.
 
 mod check;
+mod cold_start;
 mod document_error;
+mod host_route;
 mod key_hash;
+mod key_range;
+mod manifest;
 mod parse;
 mod plan;
 mod plans;
@@ -13,8 +17,13 @@
 mod workspaces;
 
 pub use check::MAX_NAME_BYTES;
+pub use cold_start::ColdStart;
 pub use document_error::DocumentError;
+pub use host_route::HostRoute;
+pub use host_route::WeightedTarget;
 pub use key_hash::KeyHash;
+pub use key_range::KeyRange;
+pub use manifest::Manifest;
 pub use plan::MAX_BURST_REQUESTS;
 pub use plan::MAX_RATE_REQUESTS_PER_SECOND;
 pub use plan::MAX_WEIGHT;
--- a/crates/config/src/plan.rs
+++ b/crates/config/src/plan.rs
@@ -21,11 +21,14 @@
 pub const MAX_WEIGHT: u32 = 10_000;
 
 /// What each workspace on a plan may use.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
     /// Requests that may be sent at once, across the whole fleet.
     pub burst_requests: u32,
+    /// Rank of the requests, which precedes that of their route; 0 is the most urgent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u32>,
     /// Requests per second, across the whole fleet.
     pub rate_requests_per_second: u32,
     /// Services that the plan grants.
--- a/crates/config/src/plans.rs
+++ b/crates/config/src/plans.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::DocumentError;
+use crate::HostRoute;
 use crate::Plan;
 use crate::Service;
 use crate::check::check_name;
@@ -16,6 +17,10 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plans {
+    /// Routes by host, of which the longest matching prefix applies. When there are any, requests are routed by host
+    /// alone.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub hosts: BTreeMap<String, Vec<HostRoute>>,
     /// Plans by name.
     #[serde(deserialize_with = "crate::unique::map")]
     pub plans: BTreeMap<String, Plan>,
@@ -46,7 +51,15 @@
             let path = format!("services.{name}");
             check_name(&path, name)?;
             service.check(&path)?;
+            if service.routes.is_empty() && self.hosts.is_empty() {
+                return Err(DocumentError::value(
+                    format!("{path}.routes"),
+                    "the list is empty",
+                    "declare at least one route",
+                ));
+            }
         }
+        self.check_hosts()?;
         for (name, plan) in &self.plans {
             let path = format!("plans.{name}");
             check_name(&path, name)?;
@@ -54,4 +67,56 @@
         }
         Ok(())
     }
+
+    /// Returns the route of a host with the longest prefix of `path`.
+    pub fn host_route(&self, host: &str, path: &str) -> Option<&HostRoute> {
+        self.hosts
+            .get(host)?
+            .iter()
+            .filter(|route| path.starts_with(&route.prefix))
+            .max_by_key(|route| route.prefix.len())
+    }
+
+    fn check_hosts(&self) -> Result<(), DocumentError> {
+        for (host, routes) in &self.hosts {
+            for (index, route) in routes.iter().enumerate() {
+                self.check_host_route(&format!("hosts.{host}[{index}]"), route)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn check_host_route(&self, path: &str, route: &HostRoute) -> Result<(), DocumentError> {
+        if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+            return Err(DocumentError::value(
+                format!("{path}.prefix"),
+                format!("{:?} does not begin and end with `/`", route.prefix),
+                "begin and end it with `/`",
+            ));
+        }
+        if route.timeout_ms == 0 || route.attempts == 0 {
+            return Err(DocumentError::value(
+                path,
+                "the timeout or the number of attempts is 0",
+                "choose at least 1",
+            ));
+        }
+        let total: u64 = route.targets.iter().map(|one| u64::from(one.weight)).sum();
+        if total == 0 {
+            return Err(DocumentError::value(
+                format!("{path}.targets"),
+                "no target has a weight",
+                "give at least one target a weight above 0",
+            ));
+        }
+        let mut targets = route.targets.iter();
+        match targets.find(|target| !self.services.contains_key(&target.service)) {
+            None => Ok(()),
+            Some(unknown) => Err(DocumentError::value(
+                format!("{path}.targets"),
+                format!("service `{}` is not declared", unknown.service),
+                "declare it under `services` or correct its name",
+            )),
+        }
+    }
 }
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -3,16 +3,31 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ColdStart;
 use crate::DocumentError;
+use crate::KeyRange;
 use crate::Route;
 
 /// Largest number of shards of a service.
 pub const MAX_SHARDS: u32 = 65_536;
 
 /// A kind of upstream, and the routes that callers reach it by.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
+    /// What an upstream bears while it is cold, absent for one that bears as much as later.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_start: Option<ColdStart>,
+    /// Connections that each upstream accepts, absent when upstreams announce that themselves.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connections: Option<u32>,
+    /// Path of the upstreams' health check, absent for the one of this product's own interface.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<String>,
+    /// Number of keys, when keys are the numbers from 0 on. A shard is then a range of neighbouring keys, in place of
+    /// keys that hash to one index.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub numeric_keys: Option<u32>,
     /// Routes, of which the longest matching prefix applies.
     pub routes: Vec<Route>,
     /// Number of shards that keys are divided into, or 0 for a service without keys.
@@ -27,6 +42,25 @@
         self.shards > 0
     }
 
+    /// Returns the shard of a numeric key, or `None` for any other key.
+    pub fn shard_of_number(&self, key: &str) -> Option<u32> {
+        let keys = self.numeric_keys?;
+        let number = key.parse::<u32>().ok().filter(|number| *number < keys)?;
+        let shard = u64::from(number) * u64::from(self.shards) / u64::from(keys);
+        u32::try_from(shard).ok()
+    }
+
+    /// Returns the keys of a shard, or `None` when keys are no numbers.
+    pub fn range_of_shard(&self, shard: u32) -> Option<KeyRange> {
+        let keys = u64::from(self.numeric_keys?);
+        let shards = u64::from(self.shards);
+        let start = |index: u64| u32::try_from((index * keys).div_ceil(shards)).ok();
+        Some(KeyRange {
+            first: start(u64::from(shard))?,
+            last: start(u64::from(shard) + 1)?.checked_sub(1)?,
+        })
+    }
+
     /// Returns the route with the longest prefix of `path` that accepts `method`.
     pub fn route(&self, method: &str, path: &str) -> Option<&Route> {
         self.routes
@@ -37,11 +71,11 @@
 
     pub(crate) fn check(&self, path: &str) -> Result<(), DocumentError> {
         self.check_shards(&format!("{path}.shards"))?;
-        if self.routes.is_empty() {
+        if self.numeric_keys.is_some_and(|keys| keys < self.shards) {
             return Err(DocumentError::value(
-                format!("{path}.routes"),
-                "the list is empty",
-                "declare at least one route",
+                format!("{path}.numeric_keys"),
+                "there are fewer keys than shards",
+                "declare fewer shards",
             ));
         }
         for (index, route) in self.routes.iter().enumerate() {
--- a/crates/membership/src/action.rs
+++ b/crates/membership/src/action.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::CheckInAnswer;
 use crate::Decision;
 use crate::Grant;
 use crate::Heartbeat;
@@ -19,6 +20,8 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Action {
+    /// Answers a check-in of the local upstream.
+    AnswerCheckIn(CheckInAnswer),
     /// Appends a record. The agent repeats the action until it reads the record back.
     Append(Record),
     /// Writes a decision to the log of the process.
--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -15,6 +15,7 @@
 use crate::AgentSettings;
 use crate::Announcement;
 use crate::Appends;
+use crate::Declared;
 use crate::Event;
 use crate::Holdings;
 use crate::Lease;
@@ -37,6 +38,8 @@
 pub struct Agent {
     pub(crate) appends: Appends,
     pub(crate) cfg: AgentSettings,
+    pub(crate) declared: Declared,
+    pub(crate) handovers: BTreeMap<Unit, String>,
     pub(crate) holdings: Holdings,
     pub(crate) key_loads: BTreeMap<String, f64>,
     pub(crate) lease: Lease,
@@ -57,17 +60,20 @@
 impl Agent {
     /// Returns the agent of a process that has just started.
     pub fn new(cfg: AgentSettings) -> Self {
+        let (lease, log_wait) = (cfg.lease, cfg.log_wait);
         Self {
             appends: Appends::new(cfg.seed, cfg.vm.clone()),
             cfg,
+            declared: Declared::default(),
+            handovers: BTreeMap::new(),
             holdings: Holdings::default(),
             key_loads: BTreeMap::new(),
-            lease: Lease::default(),
+            lease: Lease::new(lease),
             life: Life::Absent(Absent {
                 not_before: Duration::ZERO,
             }),
             loads: LoadView::default(),
-            log: LogReader::default(),
+            log: LogReader::new(log_wait),
             pace: Pace::default(),
             rejoin_pause: REJOIN_PAUSE,
             reported: Reported::default(),
@@ -93,9 +99,11 @@
     fn take(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Announced(announcement) => self.upstream.announce(now, announcement),
+            Event::CheckedIn(check_in) => self.check_in(now, &check_in, actions),
             Event::ClockSampled { clock_ms, instance } => {
                 self.upstream.sampled(now, &instance, clock_ms);
             }
+            Event::Declared(declared) => self.declare(now, declared),
             Event::Drained { units } => self.holdings.drained(&units),
             Event::GrantAnswered(answer) => self.upstream.answered(now, &answer),
             Event::GrantFailed { sequence } => self.upstream.failed(now, sequence),
@@ -123,6 +131,7 @@
             }
             Event::Tick => self.tick(now, actions),
             Event::UnitLoads { loads } => self.loads.unit_loads = loads,
+            Event::UpstreamLeft { instance } => self.upstream.left(&instance),
             Event::UpstreamLost => self.upstream.lost(now),
         }
     }
@@ -137,7 +146,7 @@
     }
 
     /// Takes every step that has become due.
-    fn advance(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    pub(crate) fn advance(&mut self, now: Duration, actions: &mut Vec<Action>) {
         self.beat(now, actions);
         self.live(now, actions);
         let holder = self.holder();
--- /dev/null
+++ b/crates/membership/src/agent_check_in.rs
@@ -0,0 +1,77 @@
+//! Check-ins of an upstream that polls its grants.
+
+use std::time::Duration;
+
+use cluster::Body;
+
+use crate::Action;
+use crate::Agent;
+use crate::CheckIn;
+use crate::CheckInAnswer;
+use crate::Life;
+
+impl Agent {
+    /// Takes a check-in, and answers it with what the upstream is to hold.
+    pub(crate) fn check_in(
+        &mut self,
+        now: Duration,
+        check_in: &CheckIn,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.upstream.checked_in(now, check_in) {
+            actions.push(Action::AnswerCheckIn(CheckInAnswer {
+                granted: Vec::new(),
+                hold: None,
+                id: check_in.id,
+            }));
+            return;
+        }
+        for (unit, handover) in &check_in.handovers {
+            self.handovers.insert(unit.clone(), handover.clone());
+        }
+        self.advance(now, actions);
+        if matches!(self.life, Life::Active(_)) {
+            self.plan(now, actions);
+        }
+        let may_grant = self.life.may_grant() && self.is_joined_for_upstream();
+        let lease_end = self.lease.until().filter(|_| may_grant);
+        let wanted = self.holdings.wanted();
+        let answer = self.upstream.poll(now, check_in.id, lease_end, wanted);
+        actions.push(Action::AnswerCheckIn(answer));
+        self.advance(now, actions);
+    }
+
+    /// Tells whether the membership was joined for this life of the upstream. The units of another life need new fences
+    /// first.
+    pub(crate) fn is_joined_for_upstream(&self) -> bool {
+        let Some(accepted) = self.upstream.accepted().filter(|one| one.polls_grants) else {
+            return true;
+        };
+        let member = self.log.fleet().members().get(&self.cfg.vm);
+        member.is_some_and(|member| {
+            member.join.instance == accepted.instance
+                && self.life.incarnation() == Some(member.incarnation)
+        })
+    }
+
+    /// Tells the fleet that the upstream begins, or no longer is about, to stop.
+    pub(crate) fn announce_draining(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let Some(accepted) = self.upstream.accepted().filter(|one| one.polls_grants) else {
+            return;
+        };
+        let vm = self.cfg.vm.clone();
+        let fleet = self.log.fleet();
+        let drained = self.upstream.is_draining();
+        let is_pending = |body: &Body| matches!(body, Body::Upstream { .. });
+        if accepted.service.is_empty()
+            || fleet.drained(&vm) == drained
+            || self.appends.any(is_pending)
+            || !matches!(self.life, Life::Active(_))
+        {
+            return;
+        }
+        let base = fleet.upstream_version(&vm);
+        let body = Body::Upstream { vm, drained, base };
+        self.appends.append(now, body, actions);
+    }
+}
--- a/crates/membership/src/agent_life.rs
+++ b/crates/membership/src/agent_life.rs
@@ -5,7 +5,6 @@
 use cluster::Body;
 use cluster::DRIFT_MARGIN;
 use cluster::Join;
-use cluster::LEASE;
 
 use crate::Action;
 use crate::Agent;
@@ -24,9 +23,14 @@
                 self.join(now, actions);
             }
             Life::Absent(_) | Life::Joining(_) => {}
+            Life::Active(_) if !self.is_joined_for_upstream() => self.join_anew(now, actions),
             Life::Active(_) => {
+                self.announce_draining(now, actions);
+                self.publish(now, actions);
                 self.rewitness(now, actions);
-                self.plan(now, actions);
+                if !self.upstream.polls() {
+                    self.plan(now, actions);
+                }
                 self.guard(now, actions);
             }
             Life::Leaving(_) => self.leave(now, actions),
@@ -40,11 +44,12 @@
         let is_earlier = members
             .any(|member| member.join.vm == self.cfg.vm || member.join.peer == self.cfg.peer);
         let has_upstream = self.upstream.accepted().is_some() && !self.upstream.is_silent();
+        let polls = self.upstream.polls();
         self.stop.is_none()
             && now >= not_before
-            && (!is_earlier || now > LEASE + DRIFT_MARGIN)
+            && (!is_earlier || polls || now > self.cfg.lease + DRIFT_MARGIN)
             && has_upstream
-            && self.upstream.is_clear()
+            && (polls || self.upstream.is_clear())
             && self.log.is_healthy(now)
     }
 
@@ -58,9 +63,28 @@
         self.life = Life::Joining(joining);
     }
 
+    /// Joins as a new life, since the upstream has begun one.
+    fn join_anew(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let is_pending = |body: &Body| matches!(body, Body::Join(_));
+        let Some(accepted) = self.upstream.accepted() else {
+            return;
+        };
+        if self.appends.any(is_pending) || self.stop.is_some() || !self.log.is_healthy(now) {
+            return;
+        }
+        let body = Body::Join(self.statement(accepted));
+        self.appends.append(now, body, actions);
+    }
+
     fn statement(&self, accepted: &Announcement) -> Join {
         Join {
             connections: accepted.connections,
+            instance: if accepted.polls_grants {
+                accepted.instance.clone()
+            } else {
+                String::new()
+            },
+            lease_ms: u64::try_from(self.cfg.lease.as_millis()).unwrap_or(u64::MAX),
             peer: self.cfg.peer,
             region: self.cfg.region.clone(),
             service: accepted.service.clone(),
--- a/crates/membership/src/agent_log.rs
+++ b/crates/membership/src/agent_log.rs
@@ -16,6 +16,7 @@
 use crate::times::LONG_LIFE;
 use crate::times::REJOIN_PAUSE;
 use crate::times::REJOIN_PAUSE_MAX;
+use crate::times::RETENTION_PART;
 use crate::times::SNAPSHOT_INTERVAL;
 use crate::times::SNAPSHOT_RECORDS;
 use crate::times::SNAPSHOT_TURN;
@@ -57,6 +58,17 @@
                 let incarnation = offset;
                 actions.push(Action::Decide(Decision::Joined { incarnation }));
             }
+            (Life::Active(active), Body::Join(_)) if applied => {
+                let mut next = active.clone();
+                next.incarnation = offset;
+                next.since = now;
+                self.life = Life::Active(next);
+                self.lease = crate::Lease::new(self.cfg.lease);
+                self.watches.clear();
+                self.witnesses = crate::Witnesses::default();
+                let incarnation = offset;
+                actions.push(Action::Decide(Decision::Joined { incarnation }));
+            }
             (Life::Joining(_), Body::Join(_)) => {
                 let not_before = now + self.rejoin_pause;
                 self.life = Life::Absent(Absent { not_before });
@@ -112,7 +124,7 @@
             self.life = Life::Absent(leaving.clone().left(now + pause));
         }
         self.holdings.clear();
-        self.lease = crate::Lease::default();
+        self.lease = crate::Lease::new(self.cfg.lease);
         self.watches.clear();
         self.witnesses = crate::Witnesses::default();
         self.appends.clear();
@@ -132,7 +144,8 @@
             return;
         };
         let turns = u32::try_from(turn).unwrap_or(u32::MAX);
-        if self.log.is_healthy(now) && now >= missing + SNAPSHOT_TURN.saturating_mul(turns) {
+        let pause = SNAPSHOT_TURN.min(self.snapshot_interval() / RETENTION_PART);
+        if self.log.is_healthy(now) && now >= missing + pause.saturating_mul(turns) {
             for body in fleet.snapshot_bodies() {
                 self.appends.append(now, body, actions);
             }
@@ -150,7 +163,12 @@
         }
         let was_down = self.log.ended_outage().is_some_and(|ended| ended > read);
         was_down
-            || now >= read + SNAPSHOT_INTERVAL
+            || now >= read + self.snapshot_interval()
             || fleet.records_since_snapshot() >= SNAPSHOT_RECORDS
     }
+
+    fn snapshot_interval(&self) -> Duration {
+        let by_retention = self.cfg.retention.map(|time| time / RETENTION_PART);
+        by_retention.map_or(SNAPSHOT_INTERVAL, |time| time.min(SNAPSHOT_INTERVAL))
+    }
 }
--- a/crates/membership/src/agent_moves.rs
+++ b/crates/membership/src/agent_moves.rs
@@ -26,7 +26,8 @@
     /// Plans moves and pins. None starts while the log looks unhealthy, or others are under way.
     pub(crate) fn plan(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let is_steady = self.log.is_healthy(now) && self.lease.holds(now);
-        if !is_steady || self.holdings.is_handing_over() {
+        let polls = self.upstream.polls();
+        if !is_steady || (self.holdings.is_handing_over() && !polls) {
             return;
         }
         let leaves = self.is_leaving();
@@ -39,9 +40,10 @@
         } else {
             MOVE_BUDGET.max(self.holdings.len() / MOVE_PART)
         };
-        self.loads.stopping = self.stop.is_some();
+        self.loads.stopping = self.stop.is_some() || self.upstream.is_draining();
+        self.loads.tolerance = self.cfg.load_tolerance;
         self.plan_moves(actions);
-        if !leaves {
+        if !leaves && !polls {
             self.plan_pins(now, actions);
         }
     }
@@ -50,7 +52,9 @@
     fn is_leaving(&self) -> bool {
         let fleet = self.log.fleet();
         let member = fleet.members().get(&self.cfg.vm);
-        self.stop.is_some() || member.is_some_and(|member| !fleet.is_candidate(member))
+        self.stop.is_some()
+            || self.upstream.is_draining()
+            || member.is_some_and(|member| !fleet.is_candidate(member))
     }
 
     fn plan_moves(&mut self, actions: &mut Vec<Action>) {
@@ -65,6 +69,10 @@
             plan.extend(units.into_iter().map(|unit| (unit, Some(to.clone()))));
         }
         let units = self.holdings.drain(&plan);
+        if self.upstream.polls() {
+            // The upstream ends what runs before it reports that it has released a range.
+            self.holdings.drained(&units);
+        }
         self.pace.nothing_to_move = units.is_empty();
         if !units.is_empty() {
             actions.push(Action::Drain { units });
@@ -126,8 +134,14 @@
                     unit: moved.unit.clone(),
                 }));
             }
+            let handovers = units.iter().filter_map(|moved| {
+                let handover = self.handovers.remove(&moved.unit)?;
+                Some((moved.unit.clone(), handover))
+            });
+            let handovers = handovers.collect();
             let body = Body::Move {
                 from: self.cfg.vm.clone(),
+                handovers,
                 incarnation,
                 to: to.vm,
                 to_incarnation: to.incarnation,
--- a/crates/membership/src/agent_settings.rs
+++ b/crates/membership/src/agent_settings.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 
+use std::time::Duration;
+
+use cluster::LEASE;
 use ids::RegionId;
 use ids::VmId;
 use ids::ZoneId;
@@ -9,12 +12,24 @@
 use serde::Serialize;
 
 /// What a process knows of itself before it reads the log.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AgentSettings {
+    /// Time that a lease of this member lasts.
+    #[serde(default = "default_lease")]
+    pub lease: Duration,
+    /// Part of its fair share by which the load of a member may differ before units are moved, `None` for the default.
+    #[serde(default)]
+    pub load_tolerance: Option<f64>,
+    /// Time that one read of the log waits for new records.
+    #[serde(default = "default_log_wait")]
+    pub log_wait: Duration,
     /// Address for peers, over both TCP and UDP.
     pub peer: SocketAddr,
     /// Region of the VM.
     pub region: RegionId,
+    /// Time for which the log keeps records, `None` if that is long.
+    #[serde(default)]
+    pub retention: Option<Duration>,
     /// Seed of record ids, different at every start of the process.
     pub seed: u64,
     /// Name of the VM.
@@ -22,3 +37,11 @@
     /// Availability zone of the VM.
     pub zone: ZoneId,
 }
+
+fn default_log_wait() -> Duration {
+    Duration::from_millis(1_500)
+}
+
+fn default_lease() -> Duration {
+    LEASE
+}
--- a/crates/membership/src/announcement.rs
+++ b/crates/membership/src/announcement.rs
@@ -17,6 +17,9 @@
     pub connections: u32,
     /// Life of the upstream, new at every start.
     pub instance: String,
+    /// Whether the upstream polls its grants by check-ins, and is not sent orders.
+    #[serde(default)]
+    pub polls_grants: bool,
     /// Service that the upstream provides.
     pub service: ServiceId,
     /// Requests that the upstream runs at once.
--- /dev/null
+++ b/crates/membership/src/declared.rs
@@ -0,0 +1,17 @@
+//! What operators declare outside the log.
+
+use std::collections::BTreeSet;
+
+use config::Manifest;
+use ids::ZoneId;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What operators declare at a place other than the log. Members bring it into the log.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Declared {
+    /// The newest manifest, `None` before the first.
+    pub manifest: Option<Box<Manifest>>,
+    /// Availability zones that are taken out of service.
+    pub zones_out: BTreeSet<ZoneId>,
+}
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -11,6 +11,8 @@
 use serde::Serialize;
 
 use crate::Announcement;
+use crate::CheckIn;
+use crate::Declared;
 use crate::GrantAnswer;
 use crate::Heartbeat;
 use crate::HeartbeatAnswer;
@@ -21,6 +23,8 @@
 pub enum Event {
     /// The local upstream announced itself.
     Announced(Announcement),
+    /// The local upstream, which polls its grants, checked in.
+    CheckedIn(CheckIn),
     /// The local upstream answered a probe of its clock.
     ClockSampled {
         /// The upstream's monotonic clock, in milliseconds.
@@ -28,6 +32,8 @@
         /// Life of the upstream.
         instance: String,
     },
+    /// Operators declare something outside the log.
+    Declared(Declared),
     /// No request runs, or will run, on the units that a `Drain` named.
     Drained {
         /// The units.
@@ -92,6 +98,11 @@
         /// Load by unit.
         loads: BTreeMap<Unit, f64>,
     },
+    /// The local upstream, which polls its grants, has ended or ends soon.
+    UpstreamLeft {
+        /// Life of the upstream.
+        instance: String,
+    },
     /// The connection to the local upstream was refused.
     UpstreamLost,
 }
--- a/crates/membership/src/lease.rs
+++ b/crates/membership/src/lease.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cluster::LEASE;
 use ids::Incarnation;
 use ids::VmId;
 
@@ -20,11 +19,20 @@
     electorates: Vec<Electorate>,
     /// The latest end that the lease has had.
     ended: Option<Duration>,
+    /// Time that the lease lasts after a renewal was asked for.
+    length: Duration,
     links: BTreeMap<(VmId, Incarnation), WitnessLink>,
     until: Option<Duration>,
 }
 
 impl Lease {
+    pub(crate) fn new(length: Duration) -> Self {
+        Self {
+            length,
+            ..Self::default()
+        }
+    }
+
     /// Sets whose renewals count.
     pub(crate) fn need(&mut self, electorates: Vec<Electorate>) {
         if self.electorates == electorates {
@@ -63,7 +71,7 @@
     /// Computes the end of the lease anew.
     pub(crate) fn renew(&mut self, now: Duration) {
         let renewed = self.reached(now, WitnessLink::renewed);
-        self.until = renewed.map(|time| time + LEASE);
+        self.until = renewed.map(|time| time + self.length);
         self.ended = self.ended.max(self.until);
     }
 
@@ -73,7 +81,7 @@
             return false;
         };
         let renewed = present.reached(now, self.time_of(WitnessLink::renewed));
-        renewed.is_some_and(|time| now < time + LEASE / 2)
+        renewed.is_some_and(|time| now < time + self.length / 2)
     }
 
     /// Returns the end of the lease as last computed.
@@ -99,7 +107,7 @@
     /// Tells whether enough witnesses gave contact within a lease.
     pub(crate) fn has_contact(&self, now: Duration) -> bool {
         let contact = self.contact(now);
-        contact.is_some_and(|time| now < time + LEASE)
+        contact.is_some_and(|time| now < time + self.length)
     }
 
     /// Tells whether so many witnesses ended contact that the lease cannot be renewed any more. What
--- a/crates/membership/src/log_reader.rs
+++ b/crates/membership/src/log_reader.rs
@@ -9,13 +9,15 @@
 
 use crate::Action;
 use crate::Decision;
-use crate::times::LOG_UNHEALTHY_AFTER;
+use crate::times::LOG_SILENCE;
 use crate::times::LONG_OUTAGE;
 use crate::times::UNINFORMED_AFTER;
 
 /// What this process has read of the log, and when.
 #[derive(Debug, Default)]
 pub(crate) struct LogReader {
+    /// Time that one read waits for new records.
+    wait: Duration,
     caught_up: bool,
     /// Time at which the last long outage ended.
     ended_outage: Option<Duration>,
@@ -37,6 +39,13 @@
 }
 
 impl LogReader {
+    pub(crate) fn new(wait: Duration) -> Self {
+        Self {
+            wait,
+            ..Self::default()
+        }
+    }
+
     /// Applies the record at `offset`. Returns `None` if it is not the next one, else whether it
     /// took effect.
     pub(crate) fn apply(
@@ -127,7 +136,7 @@
 
     /// Tells whether the log answers, and all of it has been read.
     pub(crate) fn is_healthy(&self, now: Duration) -> bool {
-        let is_recent = |read| now <= read + LOG_UNHEALTHY_AFTER;
+        let is_recent = |read| now <= read + self.wait + LOG_SILENCE;
         self.caught_up && !self.failing && self.read.is_some_and(is_recent)
     }
 
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -14,8 +14,8 @@
 /// Time between two ticks above which a process counts as having been paused.
 pub(crate) const PAUSE: Duration = Duration::from_millis(500);
 
-/// Time without contact to the log after which it counts as unhealthy.
-pub(crate) const LOG_UNHEALTHY_AFTER: Duration = Duration::from_millis(2500);
+/// Time beyond the wait of a read without contact to the log after which it counts as unhealthy.
+pub(crate) const LOG_SILENCE: Duration = Duration::from_millis(1_000);
 
 /// Time without log and witnesses after which everything is refused.
 pub(crate) const UNINFORMED_AFTER: Duration = Duration::from_secs(3);
@@ -39,6 +39,22 @@
 /// Silence of the upstream after which its member leaves.
 pub(crate) const UPSTREAM_SILENCE: Duration = Duration::from_millis(2200);
 
+/// Silence of an upstream that polls its grants after which its member leaves.
+pub(crate) const POLL_SILENCE: Duration = Duration::from_secs(5);
+
+/// Time after the start of a process before which it brings no first manifest into the log, so that the members that
+/// start with it share the units.
+pub(crate) const FIRST_DECLARATION: Duration = Duration::from_millis(2_500);
+
+/// Time after which the next member in turn brings into the log what operators declare.
+pub(crate) const DECLARATION_TURN: Duration = Duration::from_millis(100);
+
+/// Part of what is left of a lease for which the upstream holds its grants. Its clock may run 2% slow.
+pub(crate) const HOLD_PART: f64 = 0.975;
+
+/// Longest time for which an upstream that polls holds its grants.
+pub(crate) const LONGEST_HOLD: Duration = Duration::from_secs(10);
+
 /// Time between two probes of the upstream while it is in doubt.
 pub(crate) const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -91,5 +107,8 @@
 /// Time after which a new snapshot is written, however little has changed.
 pub(crate) const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(600);
 
+/// Part of the time for which the log keeps records after which a new snapshot is written: one in so many.
+pub(crate) const RETENTION_PART: u32 = 4;
+
 /// Length of a log outage after which a new snapshot is written, since the last may have expired.
 pub(crate) const LONG_OUTAGE: Duration = Duration::from_secs(30);
--- a/crates/membership/src/upstream_health.rs
+++ b/crates/membership/src/upstream_health.rs
@@ -7,7 +7,6 @@
 use crate::times::PROBE_INTERVAL;
 use crate::times::SAMPLE_AGE;
 use crate::times::UPSTREAM_FAILURE;
-use crate::times::UPSTREAM_SILENCE;
 
 /// Whether the local upstream answers, and what its clock shows.
 #[derive(Debug, Default)]
@@ -51,12 +50,12 @@
 
     /// Notices that the upstream was silent, or failed to answer, for too long. After a pause of this
     /// process the silence counts anew.
-    pub(crate) fn tick(&mut self, now: Duration, was_paused: bool) {
+    pub(crate) fn tick(&mut self, now: Duration, was_paused: bool, silence: Duration) {
         if was_paused {
             self.heard = now;
         }
         let is_failing = |since| now > since + UPSTREAM_FAILURE;
-        self.silent = now > self.heard + UPSTREAM_SILENCE || self.failing.is_some_and(is_failing);
+        self.silent = now > self.heard + silence || self.failing.is_some_and(is_failing);
     }
 
     /// Tells whether the upstream was silent, or failed to answer, for too long.
--- a/crates/membership/tests/model/node.rs
+++ b/crates/membership/tests/model/node.rs
@@ -81,6 +81,7 @@
             checks_orders: self.checks_orders,
             connections: 10,
             instance: self.upstream.instance.clone(),
+            polls_grants: false,
             service: "ordering".to_owned(),
             slots: 10,
         }
@@ -102,6 +103,10 @@
 
 pub(crate) fn settings(index: usize, peer: SocketAddr, seed: u64) -> AgentSettings {
     AgentSettings {
+        lease: cluster::LEASE,
+        load_tolerance: None,
+        log_wait: Duration::from_millis(1_500),
+        retention: None,
         peer,
         region: "region".to_owned(),
         seed,
--- a/crates/policy/src/balanced_choice.rs
+++ b/crates/policy/src/balanced_choice.rs
@@ -25,7 +25,7 @@
 /// Ratio of scores below which a difference counts.
 const CLEARLY_LESS: f64 = 0.9;
 
-/// Latency that another zone adds to a score.
+/// Latency that another zone adds to a score, unless another is set.
 const ZONE_DISTANCE: Duration = Duration::from_millis(3);
 
 /// Ratio to the median latency above which an upstream is ejected.
@@ -51,6 +51,7 @@
 #[derive(Clone, Debug)]
 pub struct BalancedChoice {
     all: Vec<VmId>,
+    distance: Duration,
     ejected: BTreeSet<VmId>,
     median: Option<Duration>,
     median_until: Duration,
@@ -66,6 +67,7 @@
     pub fn new(zone: ZoneId, seed: u64) -> Self {
         Self {
             all: Vec::new(),
+            distance: ZONE_DISTANCE,
             ejected: BTreeSet::new(),
             median: None,
             median_until: Duration::ZERO,
@@ -77,6 +79,12 @@
         }
     }
 
+    /// Sets the latency that another zone adds to a score, which also stands for what traffic between zones costs.
+    pub fn with_distance(mut self, distance: Duration) -> Self {
+        self.distance = distance;
+        self
+    }
+
     /// Returns the upstreams that are ejected.
     pub fn ejected(&self) -> &BTreeSet<VmId> {
         &self.ejected
@@ -175,7 +183,7 @@
         let distance = if view.candidate.zone == self.zone {
             Duration::ZERO
         } else {
-            ZONE_DISTANCE
+            self.distance
         };
         view.score(now, unseen, distance)
     }
--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -10,8 +10,10 @@
 use crate::BatchReport;
 use crate::BucketState;
 use crate::Limit;
+use crate::Pacing;
 use crate::Wanted;
 use crate::outstanding::Outstanding;
+use crate::pacing::HOLD_MARGIN_DIVISOR;
 
 /// Time for which a batch with tokens for expected requests may be used.
 pub const AHEAD_EXPIRY: Duration = Duration::from_millis(500);
@@ -22,9 +24,6 @@
 /// Largest relative error of any process's clock, in thousandths.
 pub const CLOCK_DRIFT_PER_MILLE: u32 = 5;
 
-/// Part of a batch's time for which its tokens count as outstanding beyond it, one in this many.
-const HOLD_MARGIN_DIVISOR: u32 = 50;
-
 /// Billionths of a token in one token.
 pub(crate) const NANOTOKENS: u64 = 1_000_000_000;
 
@@ -76,12 +75,13 @@
     limit: Limit,
     next: u64,
     outstanding: Outstanding,
+    pacing: Pacing,
     quiet_until: Duration,
     refilled: Duration,
 }
 
 impl Bucket {
-    /// Longest time for which a batch counts as outstanding.
+    /// Longest time for which a batch counts as outstanding, unless the pacing is another.
     pub const LONGEST_HOLD: Duration = Duration::from_millis(510);
 
     /// Creates the bucket of a new owner, when the lease of the previous one is over.
@@ -95,6 +95,7 @@
             limit: part,
             next: first_number(now),
             outstanding: Outstanding::default(),
+            pacing: Pacing::default(),
             quiet_until,
             refilled: quiet_until,
         }
@@ -104,7 +105,7 @@
     ///
     /// The previous owner must have granted nothing since it exported `state`.
     pub fn import(now: Duration, fence: Fence, state: &BucketState) -> Self {
-        let margin = Self::LONGEST_HOLD / HOLD_MARGIN_DIVISOR;
+        let margin = Pacing::RELAXED.longest_hold() / HOLD_MARGIN_DIVISOR;
         let quiet_until = now + state.quiet_for;
         Self {
             fence,
@@ -112,11 +113,23 @@
             limit: state.limit,
             next: first_number(now),
             outstanding: Outstanding::import(now, margin, &state.outstanding),
+            pacing: Pacing::default(),
             quiet_until,
             refilled: quiet_until,
         }
     }
 
+    /// Sets the pacing of a bucket that has granted nothing yet. All owners of a bucket have the same.
+    pub fn with_pacing(mut self, pacing: Pacing) -> Self {
+        if self.outstanding.unused() == 0 {
+            let longer = pacing.longest_hold().saturating_sub(Self::LONGEST_HOLD);
+            self.quiet_until += longer;
+            self.refilled += longer;
+        }
+        self.pacing = pacing;
+        self
+    }
+
     /// Ends the bucket at this owner, and returns its state for the next one.
     pub fn export(mut self, now: Duration) -> BucketState {
         self.refill(now);
@@ -158,7 +171,7 @@
         let expires_after = if ahead == 0 {
             WAITING_EXPIRY
         } else {
-            AHEAD_EXPIRY
+            self.pacing.ahead_expiry
         };
         let id = self.hold(now, waiting + ahead, expires_after);
         Batch {
@@ -226,7 +239,7 @@
         }
         let rate = u64::from(self.limit.rate_requests_per_second);
         if rate == 0 {
-            return Self::LONGEST_HOLD.max(quiet_for);
+            return self.pacing.longest_hold().max(quiet_for);
         }
         let missing = (NANOTOKENS - self.level).div_ceil(rate);
         let refilled_after =
--- a/crates/policy/src/memory_bounds.rs
+++ b/crates/policy/src/memory_bounds.rs
@@ -23,7 +23,7 @@
             bytes: 16 << 20,
             clock_margin: Duration::from_millis(500),
             count: 50_000,
-            keep_answer: Duration::from_secs(60),
+            keep_answer: Duration::from_secs(10),
             keep_key: Duration::from_secs(600),
         }
     }
--- /dev/null
+++ b/crates/policy/src/pacing.rs
@@ -0,0 +1,47 @@
+//! How long tokens are held, and requests wait for them.
+
+use std::time::Duration;
+
+/// Part of a batch's time for which its tokens count as outstanding beyond it, one in this many.
+pub(crate) const HOLD_MARGIN_DIVISOR: u32 = 50;
+
+/// How long entries hold tokens, and requests wait for them.
+///
+/// Tokens that are held for longer save messages, and take more of the burst.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pacing {
+    /// Time for which a batch with tokens for expected requests may be used.
+    pub ahead_expiry: Duration,
+    /// Time of demand that tokens are asked for in advance.
+    pub ahead_time: Duration,
+    /// Time for which a request waits for a token at large rates.
+    pub shortest_wait: Duration,
+    /// Tokens that a request waits for at small rates.
+    pub wait_tokens: u32,
+}
+
+impl Pacing {
+    /// Pacing for limits whose burst has room for the tokens that entries hold.
+    pub const RELAXED: Self = Self {
+        ahead_expiry: Duration::from_millis(1_500),
+        ahead_time: Duration::from_millis(1_500),
+        shortest_wait: Duration::from_millis(50),
+        wait_tokens: 2,
+    };
+
+    /// Returns the longest time for which a batch counts as outstanding.
+    pub fn longest_hold(&self) -> Duration {
+        self.ahead_expiry + self.ahead_expiry / HOLD_MARGIN_DIVISOR
+    }
+}
+
+impl Default for Pacing {
+    fn default() -> Self {
+        Self {
+            ahead_expiry: Duration::from_millis(500),
+            ahead_time: Duration::from_millis(200),
+            shortest_wait: Duration::from_millis(250),
+            wait_tokens: 8,
+        }
+    }
+}
--- a/crates/policy/src/queued.rs
+++ b/crates/policy/src/queued.rs
@@ -14,6 +14,8 @@
     pub id: RequestId,
     /// What is dispatched.
     pub item: T,
+    /// Rank of the request, 0 for the most urgent.
+    pub rank: u32,
     /// Share of the workspace, relative to others; 0 counts as 1.
     pub weight: u32,
     /// Workspace that sent the request, empty on routes open to all.
--- a/crates/policy/src/token_cache.rs
+++ b/crates/policy/src/token_cache.rs
@@ -10,23 +10,15 @@
 use crate::Limit;
 use crate::Meter;
 use crate::MeterStep;
+use crate::Pacing;
 use crate::Ticket;
 use crate::Wanted;
 use crate::bucket_view::BucketView;
 use crate::demand::Demand;
 
-/// Time for which a request waits for a token at large rates.
-const SHORTEST_WAIT: Duration = Duration::from_millis(250);
-
 /// Longest time for which a request waits for a token.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
-/// Tokens that a request waits for at small rates.
-const WAIT_TOKENS: u32 = 8;
-
-/// Time of demand that tokens are asked for in advance.
-const AHEAD_TIME: Duration = Duration::from_millis(200);
-
 /// Largest part of a bucket's burst that an entry asks for in advance is one in this many.
 const AHEAD_BURST_DIVISOR: u32 = 4;
 
@@ -41,6 +33,7 @@
     limit: Limit,
     next_ask: u64,
     next_bucket: u32,
+    pacing: Pacing,
     refused: Vec<Waiter>,
     waiting: VecDeque<Waiter>,
 }
@@ -64,11 +57,18 @@
             limit,
             next_ask: 0,
             next_bucket,
+            pacing: Pacing::default(),
             refused: Vec::new(),
             waiting: VecDeque::new(),
         }
     }
 
+    /// Sets the pacing of a cache without tokens.
+    pub fn with_pacing(mut self, pacing: Pacing) -> Self {
+        self.pacing = pacing;
+        self
+    }
+
     /// Returns the unused tokens.
     pub fn unused(&self, now: Duration) -> u32 {
         self.buckets.iter().map(|bucket| bucket.unused(now)).sum()
@@ -96,7 +96,7 @@
     }
 
     fn ahead(&self, now: Duration) -> u32 {
-        let expected = self.demand.per_second(now) * AHEAD_TIME.as_secs_f64();
+        let expected = self.demand.per_second(now) * self.pacing.ahead_time.as_secs_f64();
         let part = self.limit.part(0).burst_requests / AHEAD_BURST_DIVISOR;
         // The cast saturates, and drops the fraction so that small demand asks for nothing ahead.
         (expected as u32).min(part)
@@ -113,8 +113,8 @@
     /// Returns how long a request waits for a token before it is refused.
     fn longest_wait(&self) -> Duration {
         let rate = self.limit.rate_requests_per_second.max(1);
-        let wait = Duration::from_secs(1) / rate * WAIT_TOKENS;
-        wait.clamp(SHORTEST_WAIT, LONGEST_WAIT)
+        let wait = Duration::from_secs(1) / rate * self.pacing.wait_tokens;
+        wait.clamp(self.pacing.shortest_wait, LONGEST_WAIT)
     }
 
     fn refuse_late(&mut self, now: Duration, steps: &mut Vec<MeterStep>) {
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -23,6 +23,7 @@
         deadline,
         id: format!("{workspace}{id}"),
         item: Duration::ZERO,
+        rank: 0,
         weight,
         workspace: workspace.to_owned(),
     }
--- a/crates/platform/tests/platform/http_log.rs
+++ b/crates/records/tests/records/http_log.rs
@@ -3,10 +3,10 @@
 use std::io::Write;
 use std::time::Duration;
 
-use platform::AppendError;
-use platform::HttpLog;
-use platform::Log;
-use platform::ReadError;
+use records::AppendError;
+use records::HttpLog;
+use records::Log;
+use records::ReadError;
 
 use crate::log_server::LogServer;
 use crate::log_server::read_request;
--- a/crates/platform/tests/platform/memory_log.rs
+++ b/crates/records/tests/records/memory_log.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::AppendError;
-use platform::Log;
-use platform::MemoryLog;
-use platform::ReadError;
+use records::AppendError;
+use records::Log;
+use records::MemoryLog;
+use records::ReadError;
 
 #[test]
 fn faults_follow_the_interface() {
--- a/crates/router/src/announce.rs
+++ b/crates/router/src/announce.rs
@@ -57,6 +57,7 @@
                 checks_orders: announcement.checks_orders,
                 connections: announcement.connections,
                 instance: announcement.instance,
+                polls_grants: false,
                 service: announcement.service,
                 slots: announcement.slots,
             }));
--- a/crates/router/src/clock.rs
+++ b/crates/router/src/clock.rs
@@ -1,34 +1,42 @@
-//! The monotonic clock of the process.
+//! The clock of the process.
 
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-/// Monotonic time since the start of the process.
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
+/// Time since the start of the process, on a clock that goes on while the machine is suspended.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Clock {
     pub(crate) fn new() -> Self {
         Self {
-            start: Instant::now(),
+            start: since_boot(),
         }
     }
 
     /// Returns the time since the start of the process.
     pub(crate) fn now(&self) -> Duration {
-        self.start.elapsed()
+        since_boot().saturating_sub(self.start)
     }
 
-    /// Returns the instant of a time on this clock.
+    /// Returns the instant of a time on this clock, if the machine is not suspended before.
     pub(crate) fn instant(&self, at: Duration) -> Instant {
-        self.start + at
+        Instant::now() + at.saturating_sub(self.now())
     }
 }
 
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::try_from(time).unwrap_or_default()
+}
+
 /// Returns the wall-clock time in milliseconds since the Unix epoch.
 pub(crate) fn unix_ms() -> u64 {
     let since = SystemTime::now()
--- a/crates/router/src/control/control_thread.rs
+++ b/crates/router/src/control/control_thread.rs
@@ -14,6 +14,7 @@
 use membership::Action;
 use membership::Agent;
 use membership::Announcement;
+use membership::CheckInAnswer;
 use membership::Decision;
 use membership::Event;
 use membership::Status;
@@ -31,8 +32,10 @@
 use crate::control::LogWriter;
 use crate::control::datagrams::Datagrams;
 use crate::control::fleet_copy::FleetCopy;
+use crate::control::load_exchange::FEW_PEERS;
 use crate::control::load_exchange::LoadExchange;
-use crate::control::load_exchange::recipient;
+use crate::control::load_exchange::peer_count;
+use crate::control::load_exchange::recipients;
 use crate::control::recorder::Recorder;
 use crate::control::upstream_control::UpstreamControl;
 use crate::home::Home;
@@ -86,6 +89,7 @@
 /// Runs the agent: passes events to it, and carries out what it asks for.
 pub(crate) struct Control {
     announced: Option<Announcement>,
+    checking_in: BTreeMap<u64, oneshot::Sender<CheckInAnswer>>,
     fleet_copy: FleetCopy,
     loads: LoadExchange,
     parts: ControlParts,
@@ -97,6 +101,7 @@
     pub(crate) fn new(parts: ControlParts) -> Self {
         Self {
             announced: None,
+            checking_in: BTreeMap::new(),
             fleet_copy: FleetCopy::default(),
             loads: LoadExchange::default(),
             parts,
@@ -129,6 +134,10 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Append { body, read_back } => self.append(*body, read_back),
+            Input::CheckIn { answer, check_in } => {
+                self.checking_in.insert(check_in.id, answer);
+                self.handle(Event::CheckedIn(*check_in));
+            }
             Input::Event(event) => self.handle(event),
         }
     }
@@ -194,11 +203,11 @@
         self.loads
             .measured(now, me.incarnation, loads.units.values().sum());
         self.loads.expire(now, fleet);
-        if self.ticks.is_multiple_of(LOAD_EXCHANGE_TICKS)
-            && let Some(to) = recipient(fleet, me, rand::random_range(0..usize::MAX))
-        {
+        if self.ticks.is_multiple_of(LOAD_EXCHANGE_TICKS) || peer_count(fleet, me) <= FEW_PEERS {
             let message = self.loads.message(now, me);
-            self.parts.datagrams.send_loads(message, to);
+            for to in recipients(fleet, me, rand::random_range(0..usize::MAX)) {
+                self.parts.datagrams.send_loads(message.clone(), to);
+            }
         }
         let units = match self.loads.is_telling(fleet, me) {
             true => loads.units,
@@ -253,6 +262,9 @@
                 self.parts.upstream.announced(announcement);
                 self.announced = Some(announcement.clone());
             }
+            Event::CheckedIn(check_in) => {
+                self.announced = Some(check_in.announcement.clone());
+            }
             Event::PeerRecords { records, .. } | Event::Records { records, .. } => {
                 self.keep(records)
             }
@@ -283,6 +295,7 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
+            Action::AnswerCheckIn(answer) => self.answer_check_in(answer),
             Action::Append(record) => self.append_for_agent(record),
             Action::Decide(decision) => self.log_decision(&decision),
             Action::Drain { units } => {
@@ -307,6 +320,14 @@
         }
     }
 
+    /// Publishes what may be dispatched, and then tells the upstream.
+    fn answer_check_in(&mut self, answer: CheckInAnswer) {
+        if let Some(tx) = self.checking_in.remove(&answer.id) {
+            self.publish();
+            let _ = tx.send(answer);
+        }
+    }
+
     fn append_for_agent(&mut self, record: Record) {
         let next_owner = match &record.body {
             Body::Move { to, .. } => self.parts.agent.fleet().members().get(to),
--- a/crates/router/src/control/input.rs
+++ b/crates/router/src/control/input.rs
@@ -1,6 +1,8 @@
 //! What the control thread is told.
 
 use cluster::Body;
+use membership::CheckIn;
+use membership::CheckInAnswer;
 use membership::Event;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -15,6 +17,13 @@
         /// Told once the record is read back.
         read_back: oneshot::Sender<()>,
     },
+    /// A check-in of the local upstream.
+    CheckIn {
+        /// Receives the answer.
+        answer: oneshot::Sender<CheckInAnswer>,
+        /// The check-in.
+        check_in: Box<CheckIn>,
+    },
     /// An event for the agent.
     Event(Event),
 }
@@ -43,6 +52,14 @@
         let _ = done.await;
     }
 
+    /// Passes a check-in to the agent, and returns the answer, or `None` when the control thread has ended.
+    pub(crate) async fn check_in(&self, check_in: CheckIn) -> Option<CheckInAnswer> {
+        let (answer, answered) = oneshot::channel();
+        let check_in = Box::new(check_in);
+        self.send(Input::CheckIn { answer, check_in });
+        answered.await.ok()
+    }
+
     fn send(&self, input: Input) {
         let _ = self.tx.send(input);
     }
--- a/crates/router/src/control/load_exchange.rs
+++ b/crates/router/src/control/load_exchange.rs
@@ -17,6 +17,9 @@
 /// Time after which a load no longer counts as known.
 const EXPIRY: Duration = Duration::from_secs(60);
 
+/// Other members of a service up to which each tells its load to all of them.
+pub(crate) const FEW_PEERS: usize = 8;
+
 /// Part of all slots of a service below which loads say too little to balance by them.
 const LEAST_UTILISATION: f64 = 0.1;
 
@@ -122,11 +125,20 @@
     }
 }
 
-/// Returns a member of the same service to pass loads on to, chosen by the random number `choice`.
-pub(crate) fn recipient(fleet: &Fleet, me: &Member, choice: usize) -> Option<SocketAddr> {
-    let count = others(fleet, me).count();
-    let index = choice.checked_rem(count)?;
-    others(fleet, me).nth(index).map(|member| member.join.peer)
+/// Returns the members of the same service to pass loads on to: all if they are few, and otherwise one, chosen by the
+/// random number `choice`.
+pub(crate) fn recipients(fleet: &Fleet, me: &Member, choice: usize) -> Vec<SocketAddr> {
+    let count = peer_count(fleet, me);
+    let addresses = others(fleet, me).map(|member| member.join.peer);
+    if count <= FEW_PEERS {
+        return addresses.collect();
+    }
+    addresses.skip(choice % count).take(1).collect()
+}
+
+/// Returns the number of other members of the same service.
+pub(crate) fn peer_count(fleet: &Fleet, me: &Member) -> usize {
+    others(fleet, me).count()
 }
 
 fn others<'a>(fleet: &'a Fleet, me: &'a Member) -> impl Iterator<Item = &'a Member> {
--- a/crates/router/src/control/log_reader.rs
+++ b/crates/router/src/control/log_reader.rs
@@ -7,16 +7,13 @@
 use std::time::Duration;
 
 use membership::Event;
-use platform::Batch;
-use platform::Log;
-use platform::ReadError;
+use records::Batch;
+use records::Log;
+use records::ReadError;
 
 use crate::control::ControlSender;
 use crate::shared::Shared;
 
-/// Time that one read waits for new records.
-const READ_WAIT: Duration = Duration::from_millis(1_500);
-
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -29,6 +26,7 @@
     cursor: Arc<AtomicU64>,
     log: Arc<dyn Log>,
     shared: Arc<Shared>,
+    wait: Duration,
 }
 
 impl LogReader {
@@ -42,12 +40,14 @@
         cursor: Arc<AtomicU64>,
         log: Arc<dyn Log>,
         shared: Arc<Shared>,
+        wait: Duration,
     ) -> std::io::Result<()> {
         let reader = Self {
             control,
             cursor,
             log,
             shared,
+            wait,
         };
         let builder = thread::Builder::new().name("log-reader".to_owned());
         builder.spawn(move || reader.run())?;
@@ -57,7 +57,7 @@
     fn run(&self) {
         loop {
             let from = self.cursor.load(Ordering::SeqCst).max(1);
-            match self.log.read(from, READ_RECORDS, READ_WAIT) {
+            match self.log.read(from, READ_RECORDS, self.wait) {
                 Ok(batch) => self.pass_on(batch),
                 Err(error) => self.report(&error),
             }
--- a/crates/router/src/control/log_writer.rs
+++ b/crates/router/src/control/log_writer.rs
@@ -7,7 +7,7 @@
 use std::thread;
 
 use cluster::Record;
-use platform::Log;
+use records::Log;
 
 use crate::shared::Shared;
 
--- a/crates/router/src/decisions/recent.rs
+++ b/crates/router/src/decisions/recent.rs
@@ -11,13 +11,12 @@
 use crate::decisions::RoutingDecision;
 use crate::logging::DECISION_TARGET;
 
-/// Requests whose decisions are kept.
-const KEPT_REQUESTS: usize = 5_000;
-
 /// Writes decisions to the log and keeps those of recent requests.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Recent {
     kept: Mutex<Kept>,
+    /// Requests whose decisions are kept.
+    most: usize,
 }
 
 #[derive(Debug, Default)]
@@ -27,12 +26,21 @@
 }
 
 impl Recent {
+    pub(crate) fn new(most: usize) -> Self {
+        Self {
+            kept: Mutex::default(),
+            most,
+        }
+    }
+
     /// Writes a decision to the log and keeps it.
     pub(crate) fn record(&self, decision: RoutingDecision) {
-        if let Ok(line) = serde_json::to_string(&decision) {
+        if log::log_enabled!(target: DECISION_TARGET, log::Level::Info)
+            && let Ok(line) = serde_json::to_string(&decision)
+        {
             log::info!(target: DECISION_TARGET, "{line}");
         }
-        self.lock().keep(decision);
+        self.lock().keep(decision, self.most);
     }
 
     /// Returns the decisions about a request, oldest first.
@@ -50,7 +58,7 @@
 }
 
 impl Kept {
-    fn keep(&mut self, decision: RoutingDecision) {
+    fn keep(&mut self, decision: RoutingDecision, most: usize) {
         if !self.by_request.contains_key(&decision.request_id) {
             self.order.push_back(decision.request_id.clone());
         }
@@ -58,7 +66,7 @@
             .entry(decision.request_id.clone())
             .or_default()
             .push(decision);
-        if self.order.len() > KEPT_REQUESTS
+        if self.order.len() > most
             && let Some(oldest) = self.order.pop_front()
         {
             self.by_request.remove(&oldest);
--- a/crates/router/src/entry/acknowledgments.rs
+++ b/crates/router/src/entry/acknowledgments.rs
@@ -12,7 +12,7 @@
 use wire::Notice;
 
 /// Time between two rounds of statements.
-const INTERVAL: Duration = Duration::from_millis(100);
+const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Collects the ids of answers that have arrived, and tells their homes.
 #[derive(Debug, Default)]
--- a/crates/router/src/entry/call_home.rs
+++ b/crates/router/src/entry/call_home.rs
@@ -19,6 +19,7 @@
 use crate::entry::inquiry::Inquiry;
 use crate::entry::target::Target;
 use crate::home::Home;
+use crate::home::shorten;
 use crate::home::statement;
 use crate::links::LinkPool;
 use crate::shared::Shared;
@@ -69,14 +70,16 @@
         &self,
         link: &Link,
         target: &Target,
-        dispatch: Dispatch,
+        mut dispatch: Dispatch,
         deadline: Duration,
     ) -> Reply {
+        shorten(&mut dispatch);
         let request_id = dispatch.request_id.clone();
+        let is_remembered = !dispatch.idempotent;
         let left = deadline.saturating_sub(self.shared.clock.now());
         match link.dispatch(dispatch, left + HOME_GRACE).await {
             Ok(outcome) => {
-                if matches!(outcome, Outcome::Answer(_)) {
+                if is_remembered && matches!(outcome, Outcome::Answer(_)) {
                     self.acknowledgments.add(link, request_id.clone());
                 }
                 reply(&request_id, outcome)
--- a/crates/router/src/entry/caller_request.rs
+++ b/crates/router/src/entry/caller_request.rs
@@ -4,26 +4,49 @@
 
 use bytes::Bytes;
 use config::Plans;
+use config::Service;
 use http::HeaderMap;
+use http::HeaderName;
 use http::Request;
+use http::header::AUTHORIZATION;
+use http::header::CONNECTION;
+use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
+use http::header::EXPECT;
+use http::header::HOST;
+use http::header::TE;
+use http::header::TRAILER;
+use http::header::TRANSFER_ENCODING;
+use http::header::UPGRADE;
+use http::request::Parts;
+use http::uri::PathAndQuery;
 use ids::RequestId;
 use ids::ServiceId;
 use policy::Content;
 use policy::IdempotencyKey;
 use policy::Reason;
 use policy::RequestHead;
+use upstream::Dialect;
+use wire::Header;
 
+use crate::entry::splits::Splits;
 use crate::settings::Limits;
-
-/// Header with the key of a keyed service.
-pub(crate) const KEY_HEADER: &str = "skylark-key";
-
-/// Header with the time that the caller waits, in milliseconds.
-pub(crate) const DEADLINE_HEADER: &str = "skylark-deadline-ms";
+use crate::shared::Shared;
 
 /// Header with the caller's idempotency key.
-pub(crate) const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+const IDEMPOTENCY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Headers that belong to a connection.
+const OF_CONNECTION: [HeaderName; 8] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    EXPECT,
+    HeaderName::from_static("keep-alive"),
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
 
 /// Longest key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
@@ -31,6 +54,8 @@
 /// A request as its caller sent it, with the route that it takes.
 #[derive(Clone, Debug)]
 pub(crate) struct CallerRequest {
+    /// Most upstreams that the request may be sent to, absent for the number of this product.
+    pub(crate) attempts: Option<u32>,
     pub(crate) body: Bytes,
     pub(crate) content_type: Option<String>,
     pub(crate) headers: HeaderMap,
@@ -40,6 +65,8 @@
     pub(crate) key: Option<String>,
     pub(crate) method: String,
     pub(crate) path_and_query: String,
+    /// Rank of the route, 0 for the most urgent.
+    pub(crate) priority: u32,
     pub(crate) service: ServiceId,
     pub(crate) timeout: Duration,
 }
@@ -49,35 +76,77 @@
     pub(crate) fn read(
         req: Request<Bytes>,
         plans: &Plans,
-        limits: &Limits,
+        shared: &Shared,
+        splits: &Splits,
     ) -> Result<Self, Reason> {
         let (head, body) = req.into_parts();
+        let dialect = &shared.dialect;
         let path_and_query = head.uri.path_and_query().ok_or(Reason::UnknownRoute)?;
-        let (service, rest) = split_service(path_and_query.as_str()).ok_or(Reason::UnknownRoute)?;
-        let declared = plans.services.get(service).ok_or(Reason::UnknownRoute)?;
-        let path = rest.split('?').next().unwrap_or(rest);
-        let route = declared
-            .route(head.method.as_str(), path)
-            .ok_or(Reason::UnknownRoute)?;
-        let key = header(&head.headers, KEY_HEADER)?;
+        let chosen = if plans.hosts.is_empty() {
+            by_service(plans, head.method.as_str(), path_and_query.as_str())?
+        } else {
+            let host = host(&head).ok_or(Reason::UnknownRoute)?;
+            by_host(plans, &host, path_and_query, splits)?
+        };
+        let declared = plans.services.get(&chosen.service);
+        let declared = declared.ok_or(Reason::UnknownRoute)?;
+        let key = header(&head.headers, &dialect.key)?;
         if declared.is_keyed() {
-            check_key(key.as_deref())?;
+            check_key(key.as_deref(), declared)?;
         }
+        let asked = timeout(&head.headers, &dialect.deadline_ms, &shared.limits)?;
         Ok(Self {
-            content_type: header(&head.headers, CONTENT_TYPE.as_str())?,
-            idempotency_key: header(&head.headers, IDEMPOTENCY_HEADER)?,
-            is_idempotent: route.idempotent,
-            is_open: route.open,
+            attempts: chosen.attempts,
+            content_type: header(&head.headers, &CONTENT_TYPE)?,
+            idempotency_key: header(&head.headers, &IDEMPOTENCY_HEADER)?,
+            is_idempotent: chosen.idempotent,
+            is_open: chosen.open,
             key: key.filter(|_| declared.is_keyed()),
             method: head.method.as_str().to_owned(),
-            path_and_query: rest.to_owned(),
-            service: service.to_owned(),
-            timeout: timeout(&head.headers, limits)?,
+            path_and_query: chosen.path_and_query,
+            priority: chosen.priority,
+            service: chosen.service,
+            timeout: asked.min(chosen.timeout),
             headers: head.headers,
             body,
         })
     }
 
+    /// Returns the headers that the upstream gets as the caller sent them.
+    pub(crate) fn forwarded_headers(&self, dialect: &Dialect) -> Vec<Header> {
+        let mut set_here = vec![
+            &AUTHORIZATION,
+            &CONTENT_TYPE,
+            &dialect.deadline_ms,
+            &dialect.request_id,
+            &dialect.workspace,
+        ];
+        set_here.extend(&dialect.caller_service);
+        set_here.extend(&dialect.target);
+        set_here.extend(self.key.as_ref().map(|_| &dialect.key));
+        let named = self.headers.get_all(CONNECTION).iter();
+        let named: Vec<&str> = named
+            .filter_map(|value| value.to_str().ok())
+            .flat_map(|value| value.split(','))
+            .map(str::trim)
+            .collect();
+        let is_forwarded = |name: &HeaderName| {
+            !set_here.contains(&name)
+                && !OF_CONNECTION.contains(name)
+                && !named
+                    .iter()
+                    .any(|other| name.as_str().eq_ignore_ascii_case(other))
+        };
+        let headers = self.headers.iter();
+        headers
+            .filter(|(name, _)| is_forwarded(name))
+            .map(|(name, value)| {
+                let value = Bytes::copy_from_slice(value.as_bytes());
+                Header::new(name.as_str().to_owned(), value)
+            })
+            .collect()
+    }
+
     /// Checks the idempotency key, which must be a UUID of version 7.
     pub(crate) fn check_idempotency_key(&self, workspace: &str) -> Result<(), Reason> {
         let Some(key) = &self.idempotency_key else {
@@ -124,7 +193,64 @@
     Some(rest.split_at(slash))
 }
 
-fn header(headers: &HeaderMap, name: &str) -> Result<Option<String>, Reason> {
+/// What the route of a request says of it.
+struct Chosen {
+    attempts: Option<u32>,
+    idempotent: bool,
+    open: bool,
+    path_and_query: String,
+    priority: u32,
+    service: ServiceId,
+    timeout: Duration,
+}
+
+fn by_service(plans: &Plans, method: &str, path_and_query: &str) -> Result<Chosen, Reason> {
+    let (service, rest) = split_service(path_and_query).ok_or(Reason::UnknownRoute)?;
+    let declared = plans.services.get(service).ok_or(Reason::UnknownRoute)?;
+    let path = rest.split('?').next().unwrap_or(rest);
+    let route = declared.route(method, path).ok_or(Reason::UnknownRoute)?;
+    Ok(Chosen {
+        attempts: None,
+        idempotent: route.idempotent,
+        open: route.open,
+        path_and_query: rest.to_owned(),
+        priority: 0,
+        service: service.to_owned(),
+        timeout: Duration::MAX,
+    })
+}
+
+fn by_host(
+    plans: &Plans,
+    host: &str,
+    path_and_query: &PathAndQuery,
+    splits: &Splits,
+) -> Result<Chosen, Reason> {
+    let route = plans.host_route(host, path_and_query.path());
+    let route = route.ok_or(Reason::UnknownRoute)?;
+    let service = splits.next(host, route).ok_or(Reason::UnknownRoute)?;
+    Ok(Chosen {
+        attempts: Some(route.attempts),
+        idempotent: route.idempotent,
+        open: route.open,
+        path_and_query: path_and_query.as_str().to_owned(),
+        priority: route.priority,
+        service,
+        timeout: route.timeout(),
+    })
+}
+
+/// Returns the host that a request names, without a port.
+fn host(head: &Parts) -> Option<String> {
+    let named = match head.uri.authority() {
+        Some(authority) => authority.host().to_owned(),
+        None => head.headers.get(HOST)?.to_str().ok()?.to_owned(),
+    };
+    let host = named.split(':').next().unwrap_or(&named);
+    Some(host.to_ascii_lowercase())
+}
+
+fn header(headers: &HeaderMap, name: &HeaderName) -> Result<Option<String>, Reason> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
     };
@@ -132,15 +258,17 @@
     Ok(Some(text.to_owned()))
 }
 
-fn check_key(key: Option<&str>) -> Result<(), Reason> {
-    match key {
-        Some(key) if !key.is_empty() && key.len() <= MAX_KEY_BYTES => Ok(()),
-        _ => Err(Reason::BadHeader),
+fn check_key(key: Option<&str>, declared: &Service) -> Result<(), Reason> {
+    let key = key.ok_or(Reason::BadHeader)?;
+    let is_known = declared.numeric_keys.is_none() || declared.shard_of_number(key).is_some();
+    if key.is_empty() || key.len() > MAX_KEY_BYTES || !is_known {
+        return Err(Reason::BadHeader);
     }
+    Ok(())
 }
 
-fn timeout(headers: &HeaderMap, limits: &Limits) -> Result<Duration, Reason> {
-    let Some(text) = header(headers, DEADLINE_HEADER)? else {
+fn timeout(headers: &HeaderMap, name: &HeaderName, limits: &Limits) -> Result<Duration, Reason> {
+    let Some(text) = header(headers, name)? else {
         return Ok(limits.default_deadline());
     };
     let milliseconds = text.parse().map_err(|_| Reason::BadHeader)?;
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -7,6 +7,7 @@
 use http::Response;
 use httpd::Handler;
 use httpd::Refused;
+use ids::RequestId;
 use policy::Admitted;
 use policy::Authenticated;
 use policy::Reason;
@@ -22,6 +23,7 @@
 use crate::decisions::Step;
 use crate::entry::Keyed;
 use crate::entry::Keyless;
+use crate::entry::Splits;
 use crate::entry::caller_request::CallerRequest;
 use crate::entry::credentials::Credentials;
 use crate::entry::responses::answered;
@@ -40,11 +42,12 @@
     pub(crate) keyless: Keyless,
     pub(crate) meters: Arc<Meters>,
     pub(crate) shared: Arc<Shared>,
+    pub(crate) splits: Splits,
 }
 
 impl Handler for CallerService {
     async fn handle(&self, req: Request<Bytes>) -> Response<Bytes> {
-        let request_id = Uuid::new_v4().to_string();
+        let request_id = self.request_id(&req);
         let started = self.shared.clock.now();
         let result = self.serve(&request_id, req).await;
         self.shared.metrics.time(
@@ -55,36 +58,48 @@
             Ok(answer) => {
                 self.shared.metrics.count("request.answered");
                 self.record(Step::Answered, &request_id, "answered");
-                answered(&request_id, answer)
+                answered(&self.shared.dialect, &request_id, answer)
             }
             Err(refusal) => {
                 self.shared
                     .metrics
                     .count(&format!("request.refused.{}", refusal.reason()));
                 self.record(Step::Refused, &request_id, refusal.reason().as_str());
-                refused(&request_id, &refusal)
+                refused(&self.shared.dialect, &request_id, &refusal)
             }
         }
     }
 
     fn refuse(&self, refused: Refused) -> Response<Bytes> {
         self.shared.metrics.count("request.turned_away");
-        turned_away(refused)
+        turned_away(&self.shared.dialect, refused)
     }
 }
 
 impl CallerService {
+    /// Returns the id that the caller chose, where callers choose ids, and a new one otherwise.
+    fn request_id(&self, req: &Request<Bytes>) -> RequestId {
+        let dialect = &self.shared.dialect;
+        let chosen = req.headers().get(&dialect.request_id);
+        let chosen = chosen.filter(|_| dialect.takes_request_ids);
+        match chosen.and_then(|id| id.to_str().ok()) {
+            Some(id) => id.to_owned(),
+            None => Uuid::new_v4().to_string(),
+        }
+    }
+
     async fn serve(&self, request_id: &str, req: Request<Bytes>) -> Result<Answer, Refusal> {
         let view = self.shared.view();
         let now = self.shared.clock.now();
         if let Some(reason) = self.unavailable(view.informed) {
             return Err(Received::refuse_unread(reason));
         }
-        let request = CallerRequest::read(req, view.fleet.plans(), &self.shared.limits)
+        let request = CallerRequest::read(req, view.fleet.plans(), &self.shared, &self.splits)
             .map_err(Received::refuse_unread)?;
         let received = Received::new(request.head(request_id.to_owned(), now));
         let credentials = match Credentials::of(&request.headers, &view.fleet) {
             Ok(None) if !request.is_open => Err(Reason::Unauthenticated),
+            Err(_) if request.is_open => Ok(None),
             other => other,
         };
         let credentials = match credentials {
@@ -97,12 +112,13 @@
         let authenticated = received.authenticate(workspace);
         let authenticated = self.check(authenticated, &request)?;
         let admitted = self.admit(authenticated, credentials.as_ref()).await?;
+        let attempts = request.attempts;
         let dispatch = self.dispatch(&admitted, request, credentials.as_ref());
         let admitted = self.check_quarantine(admitted, &dispatch)?;
         if dispatch.key.is_some() {
             self.keyed.run(admitted, dispatch).await
         } else {
-            self.keyless.run(admitted, dispatch).await
+            self.keyless.run(admitted, dispatch, attempts).await
         }
     }
 
@@ -182,7 +198,19 @@
         let plan = workspace
             .as_ref()
             .and_then(|workspace| view.fleet.plan_of(workspace));
+        let headers = request.forwarded_headers(&self.shared.dialect);
+        let left = admitted
+            .head()
+            .deadline
+            .saturating_sub(self.shared.clock.now());
+        let queue = left * u32::try_from(self.shared.limits.queue_percent).unwrap_or(100) / 100;
         Dispatch {
+            caller_service: self.shared.caller_service.clone(),
+            headers,
+            priority: plan
+                .and_then(|plan| plan.priority)
+                .unwrap_or(request.priority),
+            queue_ms: u64::try_from(queue.as_millis()).unwrap_or(u64::MAX),
             request_id: admitted.head().id.clone(),
             fingerprint: request.fingerprint(workspace.as_deref()),
             workspace,
@@ -203,7 +231,7 @@
             entry_offset: view.fleet.next(),
             attempt: 0,
             vouched: false,
-            tenant_key_hash: credentials.map(|credentials| credentials.hash.as_str().to_owned()),
+            tenant_key_hash: credentials.map(|credentials| credentials.hash.prefix().to_owned()),
         }
     }
 
--- a/crates/router/src/entry/keyed.rs
+++ b/crates/router/src/entry/keyed.rs
@@ -15,6 +15,7 @@
 use crate::decisions::Step;
 use crate::entry::CallHome;
 use crate::entry::call_home::Reply;
+use crate::entry::retry_after::retry_after;
 use crate::entry::target::Target;
 
 /// Pause before a request is sent to an owner again.
@@ -23,9 +24,6 @@
 /// Longest pause before a request is sent to an owner again.
 const LONGEST_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time after which a caller should send a refused request again.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Sends requests to the owners of their keys.
 pub(crate) struct Keyed {
     pub(crate) homes: Arc<CallHome>,
@@ -39,6 +37,9 @@
         mut dispatch: Dispatch,
     ) -> Result<Answer, Refusal> {
         let deadline = admitted.head().deadline;
+        let clock = self.homes.shared.clock;
+        let patience = clock.now() + Duration::from_millis(dispatch.queue_ms);
+        let give_up = deadline.min(patience);
         let mut pause = FIRST_PAUSE;
         loop {
             let reason = match self.target(&dispatch) {
@@ -47,9 +48,9 @@
                     Attempt::NotRun(back, statement) => {
                         admitted = back;
                         if !is_passing(&statement) {
-                            return Err(
-                                admitted.refuse(statement.reason(), statement.retry_after())
-                            );
+                            let pause = retry_after(deadline.saturating_sub(clock.now()));
+                            let pause = statement.retry_after().unwrap_or(pause);
+                            return Err(admitted.refuse(statement.reason(), Some(pause)));
                         }
                         statement.reason()
                     }
@@ -57,8 +58,10 @@
                 },
                 None => Reason::NoOwner,
             };
-            if self.homes.shared.clock.now() + pause >= deadline {
-                return Err(admitted.refuse(reason, Some(RETRY_AFTER)));
+            let now = clock.now();
+            if now + pause >= give_up {
+                let pause = retry_after(deadline.saturating_sub(now));
+                return Err(admitted.refuse(reason, Some(pause)));
             }
             tokio::time::sleep(pause).await;
             pause = LONGEST_PAUSE.min(pause * 2);
--- a/crates/router/src/entry/keyless.rs
+++ b/crates/router/src/entry/keyless.rs
@@ -43,9 +43,12 @@
         &self,
         admitted: Admitted,
         dispatch: Dispatch,
+        attempts: Option<u32>,
     ) -> Result<Answer, Refusal> {
         self.with(&dispatch.service, |service| service.budget.deposit());
-        KeylessRun::new(self, dispatch).run(admitted).await
+        KeylessRun::new(self, dispatch, attempts)
+            .run(admitted)
+            .await
     }
 
     /// Uses what is known of a service, with the members that provide it at present.
--- a/crates/router/src/entry/keyless_run.rs
+++ b/crates/router/src/entry/keyless_run.rs
@@ -28,13 +28,13 @@
 use crate::decisions::Step;
 use crate::entry::Keyless;
 use crate::entry::call_home::Reply;
+use crate::entry::retry_after::retry_after;
 use crate::entry::target::Target;
 
-/// Time after which a caller should send a refused request again.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// One request of a service without keys, with the copies of it that are on their way.
 pub(crate) struct KeylessRun<'a> {
+    /// Most upstreams that may run the request, absent for the number of this product.
+    attempts: Option<u32>,
     dispatch: Dispatch,
     excluded: BTreeSet<VmId>,
     hedge_at: Option<Instant>,
@@ -53,8 +53,9 @@
 }
 
 impl<'a> KeylessRun<'a> {
-    pub(crate) fn new(keyless: &'a Keyless, dispatch: Dispatch) -> Self {
+    pub(crate) fn new(keyless: &'a Keyless, dispatch: Dispatch, attempts: Option<u32>) -> Self {
         Self {
+            attempts,
             dispatch,
             excluded: BTreeSet::new(),
             hedge_at: None,
@@ -67,7 +68,8 @@
     pub(crate) async fn run(mut self, mut admitted: Admitted) -> Result<Answer, Refusal> {
         loop {
             let Some((target, reason)) = self.keyless.target(&self.dispatch, &self.excluded) else {
-                return Err(admitted.refuse(Reason::NoOwner, Some(RETRY_AFTER)));
+                let pause = self.retry_after(admitted.head().deadline);
+                return Err(admitted.refuse(Reason::NoOwner, Some(pause)));
             };
             let deadline = admitted.head().deadline;
             let dispatched = admitted.dispatch(target.vm.clone());
@@ -81,7 +83,9 @@
             match self.decide_retry(admitted.head(), &statement) {
                 Retry::After(pause) => tokio::time::sleep(pause).await,
                 Retry::GiveUp => {
-                    return Err(admitted.refuse(statement.reason(), statement.retry_after()));
+                    let pause = self.retry_after(admitted.head().deadline);
+                    let pause = statement.retry_after().unwrap_or(pause);
+                    return Err(admitted.refuse(statement.reason(), Some(pause)));
                 }
             }
         }
@@ -114,8 +118,20 @@
         }
     }
 
+    fn retry_after(&self, deadline: Duration) -> Duration {
+        retry_after(deadline.saturating_sub(self.keyless.homes.shared.clock.now()))
+    }
+
+    /// Tells whether one more upstream may run the request.
+    fn has_attempts(&self) -> bool {
+        self.attempts
+            .is_none_or(|attempts| self.dispatch.attempt < attempts)
+    }
+
     fn plan_hedge(&mut self) {
-        let may_hedge = self.dispatch.idempotent && !self.keyless.is_suspect(&self.dispatch);
+        let may_hedge = self.dispatch.idempotent
+            && self.has_attempts()
+            && !self.keyless.is_suspect(&self.dispatch);
         self.hedge_at = may_hedge.then(|| {
             let delay = self
                 .keyless
@@ -136,6 +152,9 @@
 
     /// Sends an idempotent request with unknown outcome to another home, where the budget allows it.
     async fn retry_unknown(&mut self, dispatched: &mut Dispatched, statement: &Statement) -> bool {
+        if !self.has_attempts() {
+            return false;
+        }
         match self.decide_retry(dispatched.head(), statement) {
             Retry::After(pause) => {
                 tokio::time::sleep(pause).await;
--- a/crates/router/src/entry/keyless_service.rs
+++ b/crates/router/src/entry/keyless_service.rs
@@ -35,7 +35,10 @@
 impl KeylessService {
     pub(crate) fn new(service: &str, zone: &ZoneId, seed: u64, policy: &PolicySettings) -> Self {
         let chooser: Box<dyn Chooser + Send> = match policy.chooser {
-            ChooserKind::Balanced => Box::new(BalancedChoice::new(zone.clone(), seed)),
+            ChooserKind::Balanced => {
+                let choice = BalancedChoice::new(zone.clone(), seed);
+                Box::new(choice.with_distance(policy.zone_distance()))
+            }
             ChooserKind::RoundRobin => Box::new(RoundRobin::default()),
         };
         Self {
--- a/crates/router/src/entry/mod.rs
+++ b/crates/router/src/entry/mod.rs
@@ -11,6 +11,8 @@
 mod keyless_run;
 mod keyless_service;
 mod responses;
+mod retry_after;
+mod splits;
 mod target;
 
 pub(crate) use acknowledgments::Acknowledgments;
@@ -18,3 +20,4 @@
 pub(crate) use caller_service::CallerService;
 pub(crate) use keyed::Keyed;
 pub(crate) use keyless::Keyless;
+pub(crate) use splits::Splits;
--- a/crates/router/src/entry/responses.rs
+++ b/crates/router/src/entry/responses.rs
@@ -14,11 +14,9 @@
 use policy::Reason;
 use policy::Refusal;
 use serde::Serialize;
+use upstream::Dialect;
 use wire::Answer;
 
-/// Header with the id of a request.
-pub(crate) const REQUEST_ID_HEADER: &str = "skylark-request-id";
-
 /// Header with the reason of a refusal.
 const REASON_HEADER: &str = "skylark-reason";
 
@@ -40,7 +38,7 @@
 }
 
 /// Returns the response that carries an upstream's answer.
-pub(crate) fn answered(request_id: &str, answer: Answer) -> Response<Bytes> {
+pub(crate) fn answered(dialect: &Dialect, request_id: &str, answer: Answer) -> Response<Bytes> {
     let mut response = Response::new(answer.body);
     let status = u16::try_from(answer.status).unwrap_or_default();
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -51,26 +49,27 @@
             response.headers_mut().append(name, value);
         }
     }
-    set_header(&mut response, REQUEST_ID_HEADER, request_id);
+    set_header(&mut response, dialect.request_id.as_str(), request_id);
     response
 }
 
 /// Returns the response that carries a refusal.
-pub(crate) fn refused(request_id: &str, refusal: &Refusal) -> Response<Bytes> {
+pub(crate) fn refused(dialect: &Dialect, request_id: &str, refusal: &Refusal) -> Response<Bytes> {
     let mut response = build(
-        status(refusal.reason()),
+        dialect,
+        status(refusal.reason(), refusal.outcome()),
         refusal.reason(),
         refusal.outcome(),
         message(refusal.reason()),
         Some(request_id),
         refusal.retry_after(),
     );
-    set_header(&mut response, REQUEST_ID_HEADER, request_id);
+    set_header(&mut response, dialect.request_id.as_str(), request_id);
     response
 }
 
 /// Returns the response to a client whose request never arrived as a whole.
-pub(crate) fn turned_away(refused: Refused) -> Response<Bytes> {
+pub(crate) fn turned_away(dialect: &Dialect, refused: Refused) -> Response<Bytes> {
     let (status, reason) = match refused {
         Refused::BodyTooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, Reason::BodyTooLarge),
         Refused::BodyTruncated => (StatusCode::BAD_REQUEST, Reason::BadHeader),
@@ -84,6 +83,7 @@
         Refused::Timeout { .. } => (StatusCode::REQUEST_TIMEOUT, Reason::DeadlinePassed),
     };
     build(
+        dialect,
         status,
         reason,
         Outcome::NotRun,
@@ -94,6 +94,7 @@
 }
 
 fn build(
+    dialect: &Dialect,
     status: StatusCode,
     reason: Reason,
     outcome: Outcome,
@@ -117,8 +118,12 @@
     set_header(&mut response, REASON_HEADER, reason.as_str());
     set_header(&mut response, OUTCOME_HEADER, outcome.as_str());
     if let Some(retry_after) = retry_after {
-        let seconds = retry_after.as_millis().div_ceil(1_000);
-        set_header(&mut response, RETRY_AFTER.as_str(), &seconds.to_string());
+        let seconds = if dialect.has_fractional_retry_after {
+            format!("{:.3}", retry_after.as_secs_f64())
+        } else {
+            retry_after.as_millis().div_ceil(1_000).to_string()
+        };
+        set_header(&mut response, RETRY_AFTER.as_str(), &seconds);
     }
     response
 }
@@ -135,7 +140,16 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn status(reason: Reason) -> StatusCode {
+/// Returns the status of a refusal. A status that promises that the request did not run is given only where that is so.
+fn status(reason: Reason, outcome: Outcome) -> StatusCode {
+    match (status_of(reason), outcome) {
+        (StatusCode::SERVICE_UNAVAILABLE, Outcome::Unknown) => StatusCode::BAD_GATEWAY,
+        (StatusCode::BAD_GATEWAY, Outcome::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
+        (status, _) => status,
+    }
+}
+
+fn status_of(reason: Reason) -> StatusCode {
     match reason {
         Reason::BadHeader => StatusCode::BAD_REQUEST,
         Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -143,7 +157,7 @@
         Reason::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
         Reason::IdempotencyConflict | Reason::IdempotencyUnknown => StatusCode::CONFLICT,
         Reason::KeyWithdrawn | Reason::Unauthenticated => StatusCode::UNAUTHORIZED,
-        Reason::NotGranted | Reason::Quarantined => StatusCode::FORBIDDEN,
+        Reason::NotGranted => StatusCode::FORBIDDEN,
         Reason::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
         Reason::UnknownRoute => StatusCode::NOT_FOUND,
         Reason::AnswerTooLarge
@@ -155,6 +169,7 @@
         | Reason::NotOwner
         | Reason::Overloaded
         | Reason::OwnerUnreachable
+        | Reason::Quarantined
         | Reason::Shed
         | Reason::Stopping
         | Reason::Uninformed => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use config::KeyHash;
 use policy::Arrived;
 use policy::Completion;
 use policy::Queued;
@@ -68,19 +67,17 @@
     async fn permit(&self) -> Result<Permit, Outcome> {
         let (tx, rx) = oneshot::channel();
         self.home.enqueue(Queued {
-            deadline: self.deadline,
+            deadline: self.queue_deadline(),
             id: self.dispatch.request_id.clone(),
             item: Waiting {
+                deadline: self.deadline,
                 fingerprint: self.dispatch.fingerprint.clone(),
                 grant: grant_of(&self.dispatch),
                 key: self.dispatch.key.clone(),
-                tenant_key: self
-                    .dispatch
-                    .tenant_key_hash
-                    .as_deref()
-                    .and_then(KeyHash::from_hex),
+                tenant_key: self.dispatch.tenant_key_hash.clone(),
                 tx,
             },
+            rank: self.dispatch.priority,
             weight: self.dispatch.weight,
             workspace: self.dispatch.workspace.clone().unwrap_or_default(),
         });
@@ -94,6 +91,17 @@
         }
     }
 
+    /// Returns the time until which the request waits for its turn.
+    fn queue_deadline(&self) -> Duration {
+        match self.dispatch.queue_ms {
+            0 => self.deadline,
+            queue_ms => {
+                let now = self.home.shared.clock.now();
+                self.deadline.min(now + Duration::from_millis(queue_ms))
+            }
+        }
+    }
+
     async fn dispatch(&mut self, mut permit: Permit) -> Outcome {
         let arrived = Arrived::new(self.dispatch.request_id.clone());
         let Some(upstream) = self.home.upstream() else {
@@ -103,7 +111,7 @@
         self.is_started = true;
         let started = arrived.start();
         self.log_dispatch();
-        let request = upstream_request(&self.dispatch);
+        let request = upstream_request(&self.dispatch, &upstream.announcement.instance);
         permit.send(&upstream.client, &self.dispatch.request_id);
         let result = upstream.client.dispatch(request, deadline).await;
         let latency = self
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -37,10 +37,12 @@
 use crate::home::execution::Execution;
 use crate::home::home_state::HomeState;
 use crate::home::local_upstream::LocalUpstream;
+use crate::home::messages::complete;
 use crate::home::messages::new_request;
 use crate::home::messages::refused;
 use crate::home::pump::Pump;
 use crate::home::pump::refuse;
+use crate::home::pump::refuse_late;
 use crate::home::waiting::Waiting;
 use crate::shared::Shared;
 use crate::travel::Arrivals;
@@ -80,7 +82,8 @@
     /// Runs a request, at most once, and returns what came of it.
     ///
     /// A request with an idempotency key runs to its end when the returned future is dropped.
-    pub(crate) async fn run(self: &Arc<Self>, dispatch: Dispatch) -> Outcome {
+    pub(crate) async fn run(self: &Arc<Self>, mut dispatch: Dispatch) -> Outcome {
+        complete(&mut dispatch, &self.shared.view().fleet);
         self.await_clock(&dispatch).await;
         let begun = self.begin(&dispatch);
         match begun {
@@ -125,7 +128,7 @@
         let not_run =
             |reason| Begun::Ended(refused(&Arrived::new(id.clone()).refuse(reason, None)));
         let mut state = self.lock();
-        state.use_upstream(now, &view, &self.shared.limits);
+        state.use_upstream(now, &view, &self.shared);
         if let Some(unit) = &request.unit {
             match view.serving.get(unit) {
                 Some(fence) if *fence == dispatch.fence => {
@@ -268,7 +271,7 @@
             state.serve(now, &view, &self.arrivals);
             state.tick(now);
             for queued in state.queue.take_expired(now) {
-                refuse(queued, Reason::DeadlinePassed);
+                refuse_late(now, queued);
             }
             self.report_drained(&mut state);
             self.pump(&mut state);
@@ -288,6 +291,19 @@
         self.lock().finish(now, request_id, outcome);
     }
 
+    /// Takes in for how long the upstream says that it stays cold.
+    pub(crate) fn report_cold(&self, instance: &str, left: Duration) {
+        let until = self.shared.clock.now() + left;
+        let mut state = self.lock();
+        let present = state.upstream.as_ref();
+        let is_new = present.is_none_or(|present| present.announcement.instance != instance);
+        if is_new {
+            state.cold.restart(until);
+        } else {
+            state.cold.cool(until);
+        }
+    }
+
     /// Returns the upstream that was accepted.
     pub(crate) fn upstream(&self) -> Option<LocalUpstream> {
         self.lock().upstream.clone()
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -11,6 +11,7 @@
 use ids::Unit;
 use ids::WorkspaceId;
 use policy::AdaptiveLimit;
+use policy::ColdPace;
 use policy::Completion;
 use policy::FairQueue;
 use policy::FifoQueue;
@@ -21,6 +22,7 @@
 use policy::Queue;
 use policy::QueueBounds;
 use policy::Queued;
+use policy::RankedQueue;
 use policy::RequestMemory;
 use policy::Suspects;
 use policy::Ticket;
@@ -36,6 +38,7 @@
 use crate::settings::Limits;
 use crate::settings::PolicySettings;
 use crate::settings::QueueKind;
+use crate::shared::Shared;
 use crate::travel::Arrivals;
 use crate::travel::Contents;
 use crate::travel::StoredAnswer;
@@ -48,6 +51,7 @@
 #[derive(Debug)]
 pub(crate) struct HomeState {
     pub(crate) book: UnitBook,
+    pub(crate) cold: ColdPace,
     /// The request that starts next, and is held back by what runs.
     pub(crate) held: Option<Queued<Waiting>>,
     learned: Offset,
@@ -88,6 +92,7 @@
     match kind {
         QueueKind::Fair => Box::new(FairQueue::new(bounds)),
         QueueKind::Fifo => Box::new(FifoQueue::new(total)),
+        QueueKind::Ranked => Box::new(RankedQueue::new(total)),
     }
 }
 
@@ -108,7 +113,8 @@
 impl HomeState {
     pub(crate) fn new(now: Duration, limits: &Limits, policy: &PolicySettings) -> Self {
         Self {
-            book: UnitBook::default(),
+            book: UnitBook::new(policy.load_memory()),
+            cold: ColdPace::default(),
             held: None,
             learned: 0,
             served: Arc::default(),
@@ -123,7 +129,7 @@
     }
 
     /// Takes in which upstream was accepted. A new one starts cold.
-    pub(crate) fn use_upstream(&mut self, now: Duration, view: &View, limits: &Limits) {
+    pub(crate) fn use_upstream(&mut self, now: Duration, view: &View, shared: &Shared) {
         let Some(announcement) = &view.upstream else {
             return;
         };
@@ -135,7 +141,9 @@
             return;
         }
         self.limiter.restart(now, announcement.slots);
-        self.upstream = Some(LocalUpstream::new(Arc::clone(announcement), limits));
+        let declared = view.fleet.plans().services.get(&announcement.service);
+        let upstream = LocalUpstream::new(Arc::clone(announcement), declared, shared);
+        self.upstream = Some(upstream);
     }
 
     /// Takes in what the fleet knows of requests that crash upstreams.
@@ -145,6 +153,13 @@
         }
         self.learned = view.fleet.next();
         self.suspects.set_fleet(standings(&view.fleet, unix_ms()));
+        if let Some(upstream) = &self.upstream {
+            let service = &upstream.announcement.service;
+            let declared = view.fleet.plans().services.get(service);
+            let cold_start = declared.and_then(|declared| declared.cold_start);
+            self.cold
+                .set_rate(cold_start.map_or(0, |cold| cold.requests_per_second));
+        }
     }
 
     /// Takes in which units are served, once for each change, so that ownership begins with service and not with the
--- a/crates/router/src/home/hot_keys.rs
+++ b/crates/router/src/home/hot_keys.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::home::moving_mean::MEMORY;
 use crate::home::moving_mean::kept_after;
 
 /// Keys that are counted at a time.
@@ -57,13 +56,13 @@
     }
 
     /// Ends an interval, and returns for each counted key the slots that it keeps busy at least.
-    pub(crate) fn take(&mut self, elapsed: Duration) -> BTreeMap<String, f64> {
-        let kept = kept_after(elapsed);
+    pub(crate) fn take(&mut self, elapsed: Duration, memory: Duration) -> BTreeMap<String, f64> {
+        let kept = kept_after(elapsed, memory);
         let loads = self.counters.iter();
         let loads = loads
             .map(|(key, counter)| {
                 let busy = counter.busy - counter.error;
-                (key.clone(), busy / MEMORY.as_secs_f64())
+                (key.clone(), busy / memory.as_secs_f64())
             })
             .collect();
         for counter in self.counters.values_mut() {
--- a/crates/router/src/home/local_upstream.rs
+++ b/crates/router/src/home/local_upstream.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
+use config::Service;
 use membership::Announcement;
 use tokio::sync::Mutex;
 use upstream::ClientSettings;
 use upstream::UpstreamClient;
 
-use crate::settings::Limits;
+use crate::shared::Shared;
 
 /// The upstream beside this process, with the connections to it.
 #[derive(Clone, Debug)]
@@ -19,10 +20,16 @@
 }
 
 impl LocalUpstream {
-    pub(crate) fn new(announcement: Arc<Announcement>, limits: &Limits) -> Self {
+    pub(crate) fn new(
+        announcement: Arc<Announcement>,
+        declared: Option<&Service>,
+        shared: &Shared,
+    ) -> Self {
+        let connections = declared.and_then(|declared| declared.connections);
         let settings = ClientSettings {
-            answer_bytes: usize::try_from(limits.answer_bytes).unwrap_or(usize::MAX),
-            connections: announcement.connections as usize,
+            answer_bytes: usize::try_from(shared.limits.answer_bytes).unwrap_or(usize::MAX),
+            connections: connections.unwrap_or(announcement.connections) as usize,
+            dialect: Arc::clone(&shared.dialect),
             ..ClientSettings::default()
         };
         let client = UpstreamClient::new(announcement.address, settings);
--- a/crates/router/src/home/messages.rs
+++ b/crates/router/src/home/messages.rs
@@ -3,8 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cluster::Fleet;
+use http::HeaderName;
+use http::HeaderValue;
 use ids::Fence;
 use ids::Unit;
+use policy::Content;
 use policy::Idempotency;
 use policy::IdempotencyKey;
 use policy::NewRequest;
@@ -19,6 +23,35 @@
 use wire::Outcome;
 use wire::Refused;
 
+/// Restores what the entry leaves out of a dispatch, since it follows from the rest.
+pub(crate) fn complete(dispatch: &mut Dispatch, fleet: &Fleet) {
+    if dispatch.fingerprint.is_empty() {
+        let content = Content {
+            body: &dispatch.body,
+            key: dispatch.key.as_deref(),
+            method: &dispatch.method,
+            path: &dispatch.path_and_query,
+            service: &dispatch.service,
+            workspace: dispatch.workspace.as_deref(),
+        };
+        dispatch.fingerprint = content.fingerprint();
+    }
+    if let Some(key) = &dispatch.key
+        && dispatch.unit.is_none()
+    {
+        let unit = fleet.unit_of(&dispatch.service, key);
+        dispatch.unit = unit.map(|unit| unit.to_string());
+    }
+}
+
+/// Leaves out of a dispatch what the home restores by [`complete`].
+pub(crate) fn shorten(dispatch: &mut Dispatch) {
+    dispatch.fingerprint.clear();
+    if matches!(grant_of(dispatch), Some((Unit::Shard { .. }, _))) {
+        dispatch.unit = None;
+    }
+}
+
 /// Returns the unit and fence that a dispatch names.
 pub(crate) fn grant_of(dispatch: &Dispatch) -> Option<(Unit, Fence)> {
     let unit = dispatch.unit.as_ref()?.parse().ok()?;
@@ -42,12 +75,20 @@
 }
 
 /// Returns the request that goes to the upstream.
-pub(crate) fn upstream_request(dispatch: &Dispatch) -> Request {
+pub(crate) fn upstream_request(dispatch: &Dispatch, instance: &str) -> Request {
+    let headers = dispatch.headers.iter().filter_map(|header| {
+        let name = HeaderName::try_from(header.name.as_str()).ok()?;
+        let value = HeaderValue::from_maybe_shared(header.value.clone()).ok()?;
+        Some((name, value))
+    });
     Request {
         body: dispatch.body.clone(),
+        caller_service: dispatch.caller_service.clone(),
         content_type: dispatch.content_type.clone(),
         grant: grant_of(dispatch).map(|(unit, fence)| Grant { unit, fence }),
+        headers: headers.collect(),
         idempotent: dispatch.idempotent,
+        instance: Some(instance.to_owned()),
         key: dispatch.key.clone(),
         method: dispatch.method.clone(),
         path_and_query: dispatch.path_and_query.clone(),
@@ -59,9 +100,9 @@
 
 /// Returns the answer of the upstream as a peer message.
 pub(crate) fn answer(answer: upstream::Answer) -> Answer {
-    let header = |(name, value): (&http::HeaderName, &http::HeaderValue)| Header {
-        name: name.as_str().to_owned(),
-        value: Bytes::copy_from_slice(value.as_bytes()),
+    let header = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        let value = Bytes::copy_from_slice(value.as_bytes());
+        Header::new(name.as_str().to_owned(), value)
     };
     Answer {
         status: u32::from(answer.status.as_u16()),
--- a/crates/router/src/home/mod.rs
+++ b/crates/router/src/home/mod.rs
@@ -16,4 +16,5 @@
 
 pub(crate) use home_service::Home;
 pub(crate) use loads::Loads;
+pub(crate) use messages::shorten;
 pub(crate) use messages::statement;
--- a/crates/router/src/home/moving_mean.rs
+++ b/crates/router/src/home/moving_mean.rs
@@ -2,9 +2,6 @@
 
 use std::time::Duration;
 
-/// Time within which a new load counts for 63% of the mean.
-pub(crate) const MEMORY: Duration = Duration::from_secs(10);
-
 /// Exponentially weighted mean of the number of slots that something keeps busy.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct MovingMean {
@@ -13,12 +10,13 @@
 }
 
 impl MovingMean {
-    /// Takes in that slots were busy for `busy` in sum, in an interval of length `elapsed`.
-    pub(crate) fn add(&mut self, busy: Duration, elapsed: Duration) {
+    /// Takes in that slots were busy for `busy` in sum, in an interval of length `elapsed`. A new load counts for 63% of
+    /// the mean after `memory`.
+    pub(crate) fn add(&mut self, busy: Duration, elapsed: Duration, memory: Duration) {
         if elapsed.is_zero() {
             return;
         }
-        let kept = kept_after(elapsed);
+        let kept = kept_after(elapsed, memory);
         let load = busy.as_secs_f64() / elapsed.as_secs_f64();
         self.sum = self.sum * kept + load * (1.0 - kept);
         self.weight = self.weight * kept + (1.0 - kept);
@@ -35,6 +33,6 @@
 }
 
 /// Returns the part of an earlier load that still counts after `elapsed`.
-pub(crate) fn kept_after(elapsed: Duration) -> f64 {
-    (-elapsed.as_secs_f64() / MEMORY.as_secs_f64()).exp()
+pub(crate) fn kept_after(elapsed: Duration, memory: Duration) -> f64 {
+    (-elapsed.as_secs_f64() / memory.as_secs_f64()).exp()
 }
--- a/crates/router/src/home/pump.rs
+++ b/crates/router/src/home/pump.rs
@@ -31,7 +31,7 @@
     pub(crate) fn new(home: &'a Arc<Home>, state: &'a mut HomeState) -> Self {
         let view = home.shared.view();
         let now = home.shared.clock.now();
-        state.use_upstream(now, &view, &home.shared.limits);
+        state.use_upstream(now, &view, &home.shared);
         Self {
             home,
             now,
@@ -42,7 +42,9 @@
 
     /// Starts as many requests as the upstream can take.
     pub(crate) fn run(mut self) {
-        while self.state.limiter.in_flight() < self.state.limiter.limit(self.now) {
+        while self.state.limiter.in_flight() < self.state.limiter.limit(self.now)
+            && self.state.cold.allows(self.now)
+        {
             let Some(queued) = self.next() else {
                 return;
             };
@@ -60,7 +62,7 @@
         }
         let Popped { expired, next } = self.state.queue.pop(self.now);
         for queued in expired {
-            refuse(queued, Reason::DeadlinePassed);
+            refuse_late(self.now, queued);
         }
         next
     }
@@ -78,6 +80,7 @@
         let fingerprint = &queued.item.fingerprint;
         match self.state.suspects.try_start(self.now, ticket, fingerprint) {
             Start::Started => {
+                self.state.cold.sent(self.now);
                 self.hand_out(ticket, queued);
                 None
             }
@@ -101,7 +104,7 @@
         }
         let fleet = &self.view.fleet;
         let tenant_key = waiting.tenant_key.as_ref();
-        if tenant_key.is_some_and(|hash| fleet.workspace_of(hash).is_none()) {
+        if tenant_key.is_some_and(|prefix| !fleet.has_key(prefix)) {
             return Some(Reason::KeyWithdrawn);
         }
         let (unit, fence) = waiting.grant.as_ref()?;
@@ -138,6 +141,16 @@
     }
 }
 
+/// Refuses a request that has waited for too long.
+pub(crate) fn refuse_late(now: Duration, queued: Queued<Waiting>) {
+    let reason = if now >= queued.item.deadline {
+        Reason::DeadlinePassed
+    } else {
+        Reason::Overloaded
+    };
+    refuse(queued, reason);
+}
+
 /// Refuses a request that has not started.
 pub(crate) fn refuse(queued: Queued<Waiting>, reason: Reason) {
     let statement = Arrived::new(queued.id).refuse(reason, None);
--- a/crates/router/src/home/unit_book.rs
+++ b/crates/router/src/home/unit_book.rs
@@ -12,7 +12,7 @@
 use crate::home::moving_mean::MovingMean;
 
 /// What runs on each unit, and how much of the upstream it takes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct UnitBook {
     busy: BTreeMap<Unit, Duration>,
     busy_since: Duration,
@@ -20,10 +20,25 @@
     hot_keys: HotKeys,
     known: BTreeMap<Unit, Fence>,
     loads: BTreeMap<Unit, MovingMean>,
+    /// Time within which a new load counts for 63% of the mean.
+    memory: Duration,
     running: BTreeMap<Unit, usize>,
 }
 
 impl UnitBook {
+    pub(crate) fn new(memory: Duration) -> Self {
+        Self {
+            busy: BTreeMap::new(),
+            busy_since: Duration::ZERO,
+            draining: BTreeSet::new(),
+            hot_keys: HotKeys::default(),
+            known: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            memory,
+            running: BTreeMap::new(),
+        }
+    }
+
     /// Counts the start of a request.
     pub(crate) fn started(&mut self, unit: &Unit) {
         *self.running.entry(unit.clone()).or_default() += 1;
@@ -52,9 +67,9 @@
         for unit in owned {
             let busy = busy.get(unit).copied().unwrap_or_default();
             let mean = self.loads.entry(unit.clone()).or_default();
-            mean.add(busy, elapsed);
+            mean.add(busy, elapsed, self.memory);
         }
-        let keys = self.hot_keys.take(elapsed);
+        let keys = self.hot_keys.take(elapsed, self.memory);
         let units = self.loads.iter();
         let units = units
             .map(|(unit, mean)| (unit.clone(), load_of(unit, mean.value(), &keys)))
--- a/crates/router/src/home/waiting.rs
+++ b/crates/router/src/home/waiting.rs
@@ -1,6 +1,7 @@
 //! A request that waits for the local upstream.
 
-use config::KeyHash;
+use std::time::Duration;
+
 use ids::Fence;
 use ids::Unit;
 use policy::Fingerprint;
@@ -12,10 +13,12 @@
 /// A request that waits for the local upstream.
 #[derive(Debug)]
 pub(crate) struct Waiting {
+    /// Time after which nobody waits for the answer.
+    pub(crate) deadline: Duration,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) grant: Option<(Unit, Fence)>,
     pub(crate) key: Option<String>,
-    pub(crate) tenant_key: Option<KeyHash>,
+    pub(crate) tenant_key: Option<String>,
     /// Receives the permit, or the refusal of a request that will not run.
     pub(crate) tx: oneshot::Sender<Result<Permit, Outcome>>,
 }
--- a/crates/router/src/limits/buckets.rs
+++ b/crates/router/src/limits/buckets.rs
@@ -67,7 +67,7 @@
         let mut state = self.lock();
         state.retire(&view, now);
         for (unit, fence) in view.serving.iter() {
-            if let Some(limit) = part_of(&view, unit)
+            if let Some(limit) = part_of(&self.shared, &view, unit)
                 && !state.owned.contains_key(unit)
             {
                 let owned = self.begin(&mut state, unit, *fence, limit);
@@ -88,6 +88,7 @@
             Some(Contents::Bucket(arrived)) => Bucket::import(now, fence, &arrived),
             Some(Contents::Requests(_)) | None => Bucket::new(now, fence, limit),
         };
+        let bucket = bucket.with_pacing(self.shared.pacing());
         Owned { bucket, fence }
     }
 
@@ -115,7 +116,7 @@
         if !self.shared.lease.holds(now) {
             return not_owner;
         }
-        let Some(limit) = part_of(&view, &unit) else {
+        let Some(limit) = part_of(&self.shared, &view, &unit) else {
             return not_owner;
         };
         match self.lock().owned.get_mut(&unit) {
@@ -157,9 +158,9 @@
 }
 
 /// Returns the part of a workspace's limit that a bucket has, or `None` for any other unit.
-fn part_of(view: &View, unit: &Unit) -> Option<Limit> {
+fn part_of(shared: &Shared, view: &View, unit: &Unit) -> Option<Limit> {
     let Unit::Bucket { workspace, index } = unit else {
         return None;
     };
-    Some(plan_limit(&view.fleet, workspace)?.part(*index))
+    Some(plan_limit(shared, &view.fleet, workspace)?.part(*index))
 }
--- a/crates/router/src/limits/meters.rs
+++ b/crates/router/src/limits/meters.rs
@@ -79,7 +79,7 @@
     /// Decides about a request, or returns the time after which its caller should send it again.
     pub(crate) async fn admit(self: &Arc<Self>, workspace: &str) -> Decided {
         let view = self.shared.view();
-        let Some(limit) = plan_limit(&view.fleet, workspace) else {
+        let Some(limit) = plan_limit(&self.shared, &view.fleet, workspace) else {
             return Err(Duration::ZERO);
         };
         match self.start(workspace, limit) {
@@ -109,7 +109,8 @@
             let entries = self.shared.view().fleet.members().len();
             let entries = u32::try_from(entries).unwrap_or(u32::MAX);
             let kind = self.shared.policy.rate;
-            let meter = WorkspaceMeter::new(now, limit, self.spread, kind, entries);
+            let meter =
+                WorkspaceMeter::new(now, limit, self.spread, kind, entries, self.shared.pacing());
             meters.insert(workspace.to_owned(), meter);
         }
         let Some(meter) = meters.get_mut(workspace) else {
--- a/crates/router/src/limits/workspace_meter.rs
+++ b/crates/router/src/limits/workspace_meter.rs
@@ -9,6 +9,7 @@
 use policy::Limit;
 use policy::Meter;
 use policy::MeterStep;
+use policy::Pacing;
 use policy::Ticket;
 use policy::TokenCache;
 use tokio::sync::oneshot;
@@ -49,10 +50,11 @@
         spread: u64,
         kind: RateKind,
         entries: u32,
+        pacing: Pacing,
     ) -> Self {
         let meter: Box<dyn Meter + Send> = match kind {
             RateKind::EvenSplit => Box::new(EvenSplit::new(now, limit, entries.max(1))),
-            RateKind::Leased => Box::new(TokenCache::new(limit, spread)),
+            RateKind::Leased => Box::new(TokenCache::new(limit, spread).with_pacing(pacing)),
         };
         Self {
             limit,
--- a/crates/router/src/operator/operator_service.rs
+++ b/crates/router/src/operator/operator_service.rs
@@ -27,6 +27,9 @@
 use crate::shared::Shared;
 use crate::view::View;
 
+/// Path at which load balancers ask whether to send new requests.
+const READY_PATH: &str = "/ready";
+
 /// Time after which a member counts as not answering.
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -43,6 +46,9 @@
             return not_found();
         }
         let path = req.uri().path();
+        if path == READY_PATH {
+            return self.ready();
+        }
         if path == "/v1/status" {
             return json_response(StatusCode::OK, &self.status().await);
         }
@@ -64,6 +70,19 @@
 }
 
 impl OperatorService {
+    /// Tells whether callers should send new requests here.
+    fn ready(&self) -> Response<Bytes> {
+        let view = self.shared.view();
+        let is_ready =
+            view.informed && view.fleet.plans_version() > 0 && !self.shared.is_stopping();
+        let status = if is_ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        json_response(status, &json!({ "ready": is_ready }))
+    }
+
     async fn status(&self) -> StatusReport {
         let view = self.shared.view();
         let fleet = &view.fleet;
--- a/crates/router/src/process/mod.rs
+++ b/crates/router/src/process/mod.rs
@@ -6,3 +6,4 @@
 mod run;
 
 pub use run::run;
+pub use run::run_in;
--- a/crates/router/src/process/parts.rs
+++ b/crates/router/src/process/parts.rs
@@ -9,19 +9,21 @@
 use httpd::Handler;
 use membership::Agent;
 use membership::AgentSettings;
-use platform::HttpLog;
-use platform::Log;
+use records::HttpLog;
+use records::Log;
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio_util::sync::CancellationToken;
+use upstream::Dialect;
 use wire::Identity;
 use wire::Secret;
 
+use crate::DeclaredSink;
+use crate::Environment;
 use crate::Settings;
 use crate::announce::AnnounceService;
-use crate::clock::Clock;
 use crate::control::ControlSender;
 use crate::control::Input;
 use crate::control::LogReader;
@@ -32,6 +34,7 @@
 use crate::entry::CallerService;
 use crate::entry::Keyed;
 use crate::entry::Keyless;
+use crate::entry::Splits;
 use crate::home::Home;
 use crate::limits::Buckets;
 use crate::limits::Meters;
@@ -41,6 +44,7 @@
 use crate::operator::OperatorService;
 use crate::process::control_thread::ControlThread;
 use crate::process::listeners::Listeners;
+use crate::reports::ReportService;
 use crate::shared::Shared;
 use crate::transfer::Transfer;
 use crate::travel::Arrivals;
@@ -54,6 +58,7 @@
     pub(crate) arrivals: Arc<Arrivals>,
     pub(crate) buckets: Arc<Buckets>,
     pub(crate) control: ControlSender,
+    pub(crate) environment: Option<Arc<dyn Environment>>,
     pub(crate) home: Arc<Home>,
     pub(crate) links: Arc<LinkPool>,
     pub(crate) rx: UnboundedReceiver<Input>,
@@ -64,27 +69,28 @@
 }
 
 impl Process {
-    pub(crate) fn new(settings: &Settings) -> Result<Self> {
+    pub(crate) fn new(
+        settings: &Settings,
+        environment: Option<Arc<dyn Environment>>,
+    ) -> Result<Self> {
         let secret = settings.secret()?;
         let seed = rand::random();
         let agent = Agent::new(AgentSettings {
+            lease: settings.lease(),
+            load_tolerance: settings.policy.load_tolerance(),
+            log_wait: settings.log.read_wait(),
             peer: settings.addresses.peer,
             region: settings.region.clone(),
+            retention: settings.log.retention(),
             seed,
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
         });
         let metrics = Metrics::new(settings.metrics.as_ref(), &settings.vm)?;
-        let (vm, zone) = (settings.vm.clone(), settings.zone.clone());
-        let shared = Shared::new(
-            Clock::new(),
-            settings.limits.clone(),
-            metrics,
-            settings.policy.clone(),
-            &agent,
-            vm,
-            zone,
-        );
+        let dialect = environment
+            .as_ref()
+            .map_or_else(Dialect::default, |environment| environment.dialect());
+        let shared = Shared::new(dialect, metrics, settings, &agent);
         let shared = Arc::new(shared);
         let (tx, rx) = unbounded_channel();
         let control = ControlSender::new(tx);
@@ -108,6 +114,7 @@
             arrivals,
             buckets,
             control,
+            environment,
             home,
             links,
             rx,
@@ -125,16 +132,17 @@
         listeners: Listeners,
         stop: &CancellationToken,
     ) -> Result<(impl Future<Output = Result<()>>, JoinHandle<()>)> {
-        let log: Arc<dyn Log> = Arc::new(HttpLog::new(
-            settings.log.addresses.clone(),
-            settings.log.timeout(),
-        ));
+        let log = self.log(settings);
+        if let Some(environment) = &self.environment {
+            environment.watch(DeclaredSink::new(self.control.clone()))?;
+        }
         let cursor = Arc::new(AtomicU64::new(1));
         LogReader::start(
             self.control.clone(),
             Arc::clone(&cursor),
             Arc::clone(&log),
             Arc::clone(&self.shared),
+            settings.log.read_wait(),
         )?;
         let writer = LogWriter::start(log, Arc::clone(&self.shared))?;
         let serving = self.serve(
@@ -185,7 +193,12 @@
         operator: TcpListener,
         stop: &CancellationToken,
     ) -> impl Future<Output = Result<()>> + use<> {
-        spawn_local_server(announce, self.announce_service(), stop);
+        match &self.environment {
+            Some(environment) => {
+                spawn_local_server(announce, self.report_service(environment), stop);
+            }
+            None => spawn_local_server(announce, self.announce_service(), stop),
+        }
         spawn_local_server(operator, self.operator_service(), stop);
         let limits = caller_limits(settings);
         let callers = httpd::serve(
@@ -202,6 +215,26 @@
         }
     }
 
+    fn log(&self, settings: &Settings) -> Arc<dyn Log> {
+        match &self.environment {
+            Some(environment) => environment.log(),
+            None => Arc::new(HttpLog::new(
+                settings.log.addresses.clone(),
+                settings.log.timeout(),
+            )),
+        }
+    }
+
+    fn report_service(&self, environment: &Arc<dyn Environment>) -> ReportService {
+        ReportService {
+            control: self.control.clone(),
+            environment: Arc::clone(environment),
+            home: Arc::clone(&self.home),
+            next_id: AtomicU64::new(0),
+            shared: Arc::clone(&self.shared),
+        }
+    }
+
     fn announce_service(&self) -> AnnounceService {
         AnnounceService {
             control: self.control.clone(),
@@ -241,6 +274,7 @@
             keyless: Keyless::new(homes, self.spread),
             meters,
             shared: Arc::clone(&self.shared),
+            splits: Splits::default(),
         }
     }
 }
--- a/crates/router/src/process/run.rs
+++ b/crates/router/src/process/run.rs
@@ -11,6 +11,7 @@
 use tokio::signal::unix::signal;
 use tokio_util::sync::CancellationToken;
 
+use crate::Environment;
 use crate::Settings;
 use crate::logging;
 use crate::process::listeners::Listeners;
@@ -25,6 +26,19 @@
 ///
 /// Returns why the process cannot start, or could not stop in time.
 pub fn run(settings: &Settings) -> Result<()> {
+    start(settings, None)
+}
+
+/// Runs the process in an environment other than this product's own interface, until it has stopped gracefully.
+///
+/// # Errors
+///
+/// Returns why the process cannot start, or could not stop in time.
+pub fn run_in(settings: &Settings, environment: Arc<dyn Environment>) -> Result<()> {
+    start(settings, Some(environment))
+}
+
+fn start(settings: &Settings, environment: Option<Arc<dyn Environment>>) -> Result<()> {
     logging::start(settings)?;
     let threads = usize::try_from(settings.limits.traffic_threads)?;
     let runtime = Builder::new_multi_thread()
@@ -33,11 +47,11 @@
         .enable_all()
         .build()
         .context("the traffic threads cannot be started")?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, environment))
 }
 
-async fn serve(settings: &Settings) -> Result<()> {
-    let process = Process::new(settings)?;
+async fn serve(settings: &Settings, environment: Option<Arc<dyn Environment>>) -> Result<()> {
+    let process = Process::new(settings, environment)?;
     let listeners = Listeners::bind(settings)?;
     let stop = CancellationToken::new();
     let stopped = process.stopped.clone();
--- a/crates/router/src/settings/limits.rs
+++ b/crates/router/src/settings/limits.rs
@@ -23,8 +23,12 @@
     pub header_bytes: u64,
     /// Time that a caller has to send the head of a request, in milliseconds.
     pub header_timeout_ms: u64,
+    /// Recent requests whose decisions are kept for operators.
+    pub kept_decisions: u64,
     /// Longest deadline that a caller may ask for, in milliseconds.
     pub max_deadline_ms: u64,
+    /// Part of the time that a request has left for which it waits for the local upstream, in percent.
+    pub queue_percent: u64,
     /// Requests that may wait for the local upstream.
     pub queue_requests: u64,
     /// Time that a caller has to send a whole request, in milliseconds.
@@ -46,7 +50,9 @@
             default_deadline_ms: 5_000,
             header_bytes: 32 << 10,
             header_timeout_ms: 5_000,
+            kept_decisions: 5_000,
             max_deadline_ms: 30_000,
+            queue_percent: 100,
             queue_requests: 1000,
             request_timeout_ms: 15_000,
             stop_timeout_ms: 30_000,
@@ -80,7 +86,9 @@
                 10,
                 60_000,
             ),
+            ("limits.kept_decisions", self.kept_decisions, 1, 1_000_000),
             ("limits.max_deadline_ms", self.max_deadline_ms, 10, 300_000),
+            ("limits.queue_percent", self.queue_percent, 1, 100),
             ("limits.queue_requests", self.queue_requests, 1, 100_000),
             (
                 "limits.request_timeout_ms",
--- a/crates/router/src/settings/log_service.rs
+++ b/crates/router/src/settings/log_service.rs
@@ -13,17 +13,31 @@
 pub struct LogService {
     /// Base addresses of the log service, such as `http://10.0.0.1:8080`, tried in turn.
     pub addresses: Vec<String>,
+    /// Time that one read waits for new records, in milliseconds.
+    #[serde(default = "default_read_wait_ms")]
+    pub read_wait_ms: u64,
+    /// Time for which the log keeps records, in milliseconds, absent if that is long.
+    #[serde(default)]
+    pub retention_ms: Option<u64>,
     /// Time after which a call to the log is given up, in milliseconds.
     #[serde(default = "default_timeout_ms")]
     pub timeout_ms: u64,
 }
 
+fn default_read_wait_ms() -> u64 {
+    1_500
+}
+
 fn default_timeout_ms() -> u64 {
     3_000
 }
 
 impl LogService {
     pub(crate) fn check(&self) -> Result<(), SettingsError> {
+        check_range("log.read_wait_ms", self.read_wait_ms, 10, 30_000)?;
+        if let Some(retention_ms) = self.retention_ms {
+            check_range("log.retention_ms", retention_ms, 1_000, u64::MAX)?;
+        }
         check_range("log.timeout_ms", self.timeout_ms, 100, 60_000)?;
         if self.addresses.is_empty() {
             return Err(SettingsError::Invalid {
@@ -38,6 +52,16 @@
         Ok(())
     }
 
+    /// Returns the time that one read waits for new records.
+    pub fn read_wait(&self) -> Duration {
+        Duration::from_millis(self.read_wait_ms)
+    }
+
+    /// Returns the time for which the log keeps records, `None` if that is long.
+    pub fn retention(&self) -> Option<Duration> {
+        self.retention_ms.map(Duration::from_millis)
+    }
+
     /// Returns the time after which a call to the log is given up.
     pub fn timeout(&self) -> Duration {
         Duration::from_millis(self.timeout_ms)
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -6,6 +6,7 @@
 mod metrics_settings;
 mod policy_settings;
 mod range;
+mod rate_tolerance;
 mod settings_error;
 mod settings_file;
 
@@ -18,5 +19,6 @@
 pub use policy_settings::PolicySettings;
 pub use policy_settings::QueueKind;
 pub use policy_settings::RateKind;
+pub use rate_tolerance::RateTolerance;
 pub use settings_error::SettingsError;
 pub use settings_file::Settings;
--- a/crates/router/src/settings/policy_settings.rs
+++ b/crates/router/src/settings/policy_settings.rs
@@ -1,5 +1,7 @@
 //! Which decisions about requests a process makes.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 
 use crate::settings::SettingsError;
@@ -15,10 +17,17 @@
     pub extra_requests_percent: u64,
     /// How many requests a home lets its upstream run at once.
     pub limit: LimitKind,
+    /// Time within which a new load of a unit counts for 63% of its mean, in milliseconds.
+    pub load_memory_ms: u64,
+    /// Part of its fair share by which the load of a member may differ before units are moved, in percent; absent for a
+    /// tenth above and a seventh below.
+    pub load_tolerance_percent: Option<u64>,
     /// In which order requests are dispatched to an upstream.
     pub queue: QueueKind,
     /// How the rates of workspaces are enforced.
     pub rate: RateKind,
+    /// Latency that an upstream in another zone counts as having beyond its own, in milliseconds.
+    pub zone_distance_ms: u64,
 }
 
 /// How an upstream of a service without keys is chosen.
@@ -49,6 +58,8 @@
     Fair,
     /// In order of arrival.
     Fifo,
+    /// By the ranks of workspaces and routes.
+    Ranked,
 }
 
 /// How the rates of workspaces are enforced.
@@ -67,8 +78,11 @@
             chooser: ChooserKind::Balanced,
             extra_requests_percent: 5,
             limit: LimitKind::Adaptive,
+            load_memory_ms: 10_000,
+            load_tolerance_percent: None,
             queue: QueueKind::Fair,
             rate: RateKind::Leased,
+            zone_distance_ms: 3,
         }
     }
 }
@@ -80,7 +94,28 @@
             self.extra_requests_percent,
             0,
             100,
-        )
+        )?;
+        check_range("policy.load_memory_ms", self.load_memory_ms, 100, 600_000)?;
+        if let Some(percent) = self.load_tolerance_percent {
+            check_range("policy.load_tolerance_percent", percent, 1, 90)?;
+        }
+        check_range("policy.zone_distance_ms", self.zone_distance_ms, 0, 10_000)
+    }
+
+    /// Returns the latency that an upstream in another zone counts as having beyond its own.
+    pub fn zone_distance(&self) -> Duration {
+        Duration::from_millis(self.zone_distance_ms)
+    }
+
+    /// Returns the time within which a new load of a unit counts for 63% of its mean.
+    pub fn load_memory(&self) -> Duration {
+        Duration::from_millis(self.load_memory_ms)
+    }
+
+    /// Returns the part of its fair share by which the load of a member may differ before units are moved.
+    pub fn load_tolerance(&self) -> Option<f64> {
+        let percent = u32::try_from(self.load_tolerance_percent?).ok()?;
+        Some(f64::from(percent) / 100.0)
     }
 
     /// Returns the extra requests for each hundred requests of callers.
--- /dev/null
+++ b/crates/router/src/settings/rate_tolerance.rs
@@ -0,0 +1,52 @@
+//! By how much workspaces may exceed their limits.
+
+use std::time::Duration;
+
+use policy::Limit;
+use serde::Deserialize;
+
+use crate::settings::SettingsError;
+use crate::settings::range::check_range;
+
+/// Part of the tolerance that is used, in percent. The rest covers requests that arrive later than they are admitted.
+const USED_PERCENT: u64 = 80;
+
+/// By how much a workspace may exceed its limit in any window of one length.
+///
+/// A larger burst lets entries hold more tokens in advance, so that fewer requests wait for one.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RateTolerance {
+    /// Part of the limit in a window, in percent.
+    pub excess_percent: u64,
+    /// Requests in a window.
+    pub excess_requests: u64,
+    /// Length of the window, in milliseconds.
+    pub window_ms: u64,
+}
+
+impl RateTolerance {
+    pub(crate) fn check(&self) -> Result<(), SettingsError> {
+        check_range("rate_tolerance.excess_percent", self.excess_percent, 0, 100)?;
+        check_range(
+            "rate_tolerance.excess_requests",
+            self.excess_requests,
+            0,
+            1_000_000,
+        )?;
+        check_range("rate_tolerance.window_ms", self.window_ms, 100, 60_000)
+    }
+
+    /// Returns the limit with the tolerance added to its burst.
+    pub(crate) fn widen(&self, limit: Limit) -> Limit {
+        let window = Duration::from_millis(self.window_ms).as_secs_f64();
+        let rate = f64::from(limit.rate_requests_per_second);
+        let in_window = (rate * window) as u64 + u64::from(limit.burst_requests);
+        let excess = in_window * self.excess_percent / 100 + self.excess_requests;
+        let excess = u32::try_from(excess * USED_PERCENT / 100).unwrap_or(u32::MAX);
+        Limit {
+            burst_requests: limit.burst_requests.saturating_add(excess),
+            ..limit
+        }
+    }
+}
--- a/crates/router/src/settings/settings_file.rs
+++ b/crates/router/src/settings/settings_file.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use ids::RegionId;
+use ids::ServiceId;
 use ids::VmId;
 use ids::ZoneId;
 use log::LevelFilter;
@@ -17,7 +19,9 @@
 use crate::settings::LogService;
 use crate::settings::MetricsSettings;
 use crate::settings::PolicySettings;
+use crate::settings::RateTolerance;
 use crate::settings::SettingsError;
+use crate::settings::range::check_range;
 
 /// Settings of one process.
 #[derive(Clone, Debug, Deserialize)]
@@ -25,9 +29,15 @@
 pub struct Settings {
     /// Addresses that the process listens on.
     pub addresses: Addresses,
+    /// Service that requests of callers at this process come from, told to upstreams where they expect it.
+    #[serde(default)]
+    pub caller_service: Option<ServiceId>,
     /// File that decision log lines go to, standard output when absent.
     #[serde(default)]
     pub decision_log: Option<PathBuf>,
+    /// Time that a lease of this member lasts after its witnesses renewed it, in milliseconds.
+    #[serde(default = "default_lease_ms")]
+    pub lease_ms: u64,
     /// Limits on what the process accepts and holds.
     #[serde(default)]
     pub limits: Limits,
@@ -39,11 +49,18 @@
     /// Where metrics go, nowhere when absent.
     #[serde(default)]
     pub metrics: Option<MetricsSettings>,
+    /// The secret that peers share, in place of a file where the network is closed to others.
+    #[serde(default)]
+    pub peer_secret: Option<String>,
     /// File with the secret that peers share.
+    #[serde(default)]
     pub peer_secret_file: PathBuf,
     /// Which decisions about requests the process makes.
     #[serde(default)]
     pub policy: PolicySettings,
+    /// By how much workspaces may exceed their limits, absent if not at all.
+    #[serde(default)]
+    pub rate_tolerance: Option<RateTolerance>,
     /// Region of the VM.
     pub region: RegionId,
     /// File that events of the control thread are recorded to, none when absent.
@@ -55,6 +72,10 @@
     pub zone: ZoneId,
 }
 
+fn default_lease_ms() -> u64 {
+    2_000
+}
+
 fn default_level() -> LevelFilter {
     LevelFilter::Info
 }
@@ -95,9 +116,13 @@
         ] {
             check_name(field, name)?;
         }
+        check_range("lease_ms", self.lease_ms, 1_000, 10_000)?;
         self.check_addresses()?;
         self.log.check()?;
         self.limits.check()?;
+        if let Some(tolerance) = &self.rate_tolerance {
+            tolerance.check()?;
+        }
         self.policy.check()
     }
 
@@ -122,6 +147,11 @@
         Ok(())
     }
 
+    /// Returns the time that a lease of this member lasts.
+    pub fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+
     /// Reads the secret that peers share.
     ///
     /// # Errors
@@ -132,8 +162,12 @@
             path: self.peer_secret_file.clone(),
             reason,
         };
-        let bytes =
-            std::fs::read(&self.peer_secret_file).map_err(|error| refuse(error.to_string()))?;
+        let bytes = match &self.peer_secret {
+            Some(secret) => secret.clone().into_bytes(),
+            None => {
+                std::fs::read(&self.peer_secret_file).map_err(|error| refuse(error.to_string()))?
+            }
+        };
         Secret::new(&bytes).map_err(|error| refuse(error.to_string()))
     }
 }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -7,10 +7,15 @@
 
 use arc_swap::ArcSwap;
 use cluster::Fleet;
+use ids::ServiceId;
 use ids::VmId;
 use ids::ZoneId;
 use membership::Agent;
+use policy::Pacing;
+use upstream::Dialect;
 
+use crate::RateTolerance;
+use crate::Settings;
 use crate::clock::Clock;
 use crate::control_traffic::ControlTraffic;
 use crate::decisions::Recent;
@@ -26,11 +31,14 @@
 pub(crate) struct Shared {
     pub(crate) clock: Clock,
     pub(crate) control_traffic: ControlTraffic,
+    pub(crate) caller_service: Option<ServiceId>,
     pub(crate) decisions: Recent,
+    pub(crate) dialect: Arc<Dialect>,
     pub(crate) lease: Lease,
     pub(crate) limits: Limits,
     pub(crate) metrics: Metrics,
     pub(crate) policy: PolicySettings,
+    pub(crate) rate_tolerance: Option<RateTolerance>,
     pub(crate) records: RecordStore,
     pub(crate) vm: VmId,
     pub(crate) zone: ZoneId,
@@ -40,13 +48,10 @@
 
 impl Shared {
     pub(crate) fn new(
-        clock: Clock,
-        limits: Limits,
+        dialect: Dialect,
         metrics: Metrics,
-        policy: PolicySettings,
+        settings: &Settings,
         agent: &Agent,
-        vm: VmId,
-        zone: ZoneId,
     ) -> Self {
         let view = View {
             first_hand: false,
@@ -58,18 +63,31 @@
             upstream: None,
         };
         Self {
-            clock,
+            clock: Clock::new(),
             control_traffic: ControlTraffic::default(),
-            decisions: Recent::default(),
+            caller_service: settings.caller_service.clone(),
+            decisions: Recent::new(
+                usize::try_from(settings.limits.kept_decisions).unwrap_or(usize::MAX),
+            ),
+            dialect: Arc::new(dialect),
             lease: Lease::default(),
-            limits,
+            limits: settings.limits.clone(),
             metrics,
-            policy,
+            policy: settings.policy.clone(),
+            rate_tolerance: settings.rate_tolerance.clone(),
             records: RecordStore::default(),
             stopping: AtomicBool::new(false),
             view: ArcSwap::from_pointee(view),
-            vm,
-            zone,
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+        }
+    }
+
+    /// Returns how long tokens are held. A tolerance leaves room for tokens that entries hold for longer.
+    pub(crate) fn pacing(&self) -> Pacing {
+        match &self.rate_tolerance {
+            Some(_) => Pacing::RELAXED,
+            None => Pacing::default(),
         }
     }
 
--- a/crates/router/src/transfer.rs
+++ b/crates/router/src/transfer.rs
@@ -90,7 +90,8 @@
         let luggage = match unit.unit {
             Unit::Bucket { .. } => self.buckets.export(&unit.unit, unit.fence),
             Unit::Pinned { .. } | Unit::Shard { .. } => {
-                Some(self.home.export(&unit.unit, unit.fence))
+                let has_keys = self.home.shared.dialect.has_idempotency_keys;
+                has_keys.then(|| self.home.export(&unit.unit, unit.fence))
             }
         };
         let Some(Ok(remembered)) = luggage.map(|luggage| serde_json::to_vec(&luggage)) else {
--- a/crates/skylarkctl/src/confirmed_append.rs
+++ b/crates/skylarkctl/src/confirmed_append.rs
@@ -8,7 +8,7 @@
 use cluster::Record;
 use ids::Offset;
 use ids::RecordId;
-use platform::AppendError;
+use records::AppendError;
 use uuid::Uuid;
 
 use crate::failure::Failure;
--- a/crates/skylarkctl/src/failure.rs
+++ b/crates/skylarkctl/src/failure.rs
@@ -6,7 +6,7 @@
 use config::DocumentError;
 use ids::Offset;
 use ids::VmId;
-use platform::ReadError;
+use records::ReadError;
 use thiserror::Error;
 
 /// Why a command failed, and what to do.
--- a/crates/skylarkctl/src/folded_log.rs
+++ b/crates/skylarkctl/src/folded_log.rs
@@ -9,9 +9,9 @@
 use cluster::SnapshotReader;
 use ids::Offset;
 use ids::RecordId;
-use platform::Batch;
-use platform::Log;
-use platform::ReadError;
+use records::Batch;
+use records::Log;
+use records::ReadError;
 
 use crate::failure::Failure;
 
--- a/crates/skylarkctl/src/main.rs
+++ b/crates/skylarkctl/src/main.rs
@@ -3,8 +3,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use platform::HttpLog;
-use platform::Log;
+use records::HttpLog;
+use records::Log;
 
 fn main() -> ExitCode {
     let connect = |addresses: Vec<String>, timeout: Duration| -> Box<dyn Log> {
--- a/crates/skylarkctl/src/report.rs
+++ b/crates/skylarkctl/src/report.rs
@@ -73,6 +73,7 @@
             Self::Answer { answer } => writeln!(f, "{answer:#}"),
             Self::Document { document, version } => {
                 let text = match document {
+                    Document::Manifest(manifest) => serde_json::to_string_pretty(manifest),
                     Document::Plans(plans) => serde_json::to_string_pretty(plans),
                     Document::Workspaces(workspaces) => serde_json::to_string_pretty(workspaces),
                 };
--- a/crates/skylarkctl/src/run.rs
+++ b/crates/skylarkctl/src/run.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use pico_args::Arguments;
-use platform::Log;
+use records::Log;
 use serde_json::json;
 
 use crate::Output;
--- a/crates/skylarkctl/tests/skylarkctl/log.rs
+++ b/crates/skylarkctl/tests/skylarkctl/log.rs
@@ -4,7 +4,7 @@
 
 use cluster::Fleet;
 use cluster::Record;
-use platform::Log;
+use records::Log;
 
 use crate::operator::Operator;
 
--- a/crates/skylarkctl/tests/skylarkctl/operator.rs
+++ b/crates/skylarkctl/tests/skylarkctl/operator.rs
@@ -8,11 +8,11 @@
 
 use cluster::Record;
 use ids::Offset;
-use platform::AppendError;
-use platform::Batch;
-use platform::Log;
-use platform::MemoryLog;
-use platform::ReadError;
+use records::AppendError;
+use records::Batch;
+use records::Log;
+use records::MemoryLog;
+use records::ReadError;
 use skylarkctl::Output;
 
 /// What happens just before an append.
--- a/crates/skylarkctl/tests/skylarkctl/outcomes.rs
+++ b/crates/skylarkctl/tests/skylarkctl/outcomes.rs
@@ -1,9 +1,9 @@
 //! What commands do to the log, and what they say of it.
 
 use config::KeyHash;
-use platform::MemoryLog;
+use records::MemoryLog;
 
-use platform::Log;
+use records::Log;
 
 use crate::operator::Operator;
 
--- a/crates/standin/src/processes/documents.rs
+++ b/crates/standin/src/processes/documents.rs
@@ -26,6 +26,7 @@
         rate_requests_per_second: workspace.rate,
         services: services.keys().cloned().collect(),
         weight: workspace.weight,
+        ..Plan::default()
     };
     Plans {
         plans: workspaces
@@ -36,6 +37,7 @@
             .iter()
             .map(|(name, kind)| (name.clone(), service(*kind)))
             .collect(),
+        ..Plans::default()
     }
 }
 
@@ -43,6 +45,7 @@
 pub(crate) fn workspaces(workspaces: &[WorkspacePlan]) -> Workspaces {
     let document = |workspace: &WorkspacePlan| Workspace {
         plan: workspace.name.clone(),
+        ..Workspace::default()
     };
     Workspaces {
         workspaces: workspaces
@@ -81,5 +84,6 @@
             route("GET", "/open", true, true),
         ],
         shards: kind.shards(),
+        ..Service::default()
     }
 }
--- a/crates/upstream/src/client_settings.rs
+++ b/crates/upstream/src/client_settings.rs
@@ -1,7 +1,10 @@
 //! Settings of a client.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::Dialect;
+
 /// Bounds on what a client uses.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ClientSettings {
@@ -13,6 +16,8 @@
     pub connections: usize,
     /// Time to carry out an order.
     pub control_timeout: Duration,
+    /// Names of headers, and what the upstream understands.
+    pub dialect: Arc<Dialect>,
     /// Time after its last answer for which a connection carries an idempotent request.
     pub idle_timeout: Duration,
     /// Time after its last answer for which a connection carries any other request.
@@ -26,6 +31,7 @@
             connect_timeout: Duration::from_millis(500),
             connections: 80,
             control_timeout: Duration::from_secs(1),
+            dialect: Arc::default(),
             idle_timeout: Duration::from_secs(5),
             trust_timeout: Duration::from_millis(250),
         }
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -24,11 +24,12 @@
 use crate::Request;
 use crate::UpstreamClient;
 use crate::flight::Flight;
-use crate::head::NOT_RUN;
-use crate::head::REQUEST_ID;
 use crate::head::set_deadline;
 use crate::head::strip;
 
+/// Time in which the rest of a refusal arrives, so that its connection can be used again.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// A request as it goes over a connection.
 type HttpRequest = http::Request<Full<Bytes>>;
 
@@ -108,7 +109,8 @@
             flight.disarm();
             SendError::Failed(error)
         })?;
-        set_deadline(req.headers_mut(), remaining);
+        let dialect = &self.client.settings().dialect;
+        set_deadline(req.headers_mut(), &dialect.deadline_ms, remaining);
         let silence = remaining.min(self.silence_timeout.unwrap_or(remaining));
         let sending = flight.conn.sender.try_send_request(req);
         match timeout(silence, sending).await {
@@ -137,10 +139,13 @@
         res: Response<Incoming>,
     ) -> Result<Answer, DispatchError> {
         self.check_id(res.headers())?;
-        if let Some(reason) = res.headers().get(NOT_RUN) {
+        if let Some(not_run) = self.not_run(&res) {
             flight.disarm();
-            let reason = String::from_utf8_lossy(reason.as_bytes());
-            return Err(DispatchError::NotRun(NotRun::parse(&reason)));
+            let body = self.read_body(res.into_body());
+            if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, body).await {
+                flight.land(self.client);
+            }
+            return Err(DispatchError::NotRun(not_run));
         }
         self.check_framing(&res)?;
         let (mut parts, body) = res.into_parts();
@@ -148,7 +153,7 @@
             .await
             .map_err(|_| DispatchError::TimedOut)??;
         flight.land(self.client);
-        strip(&mut parts.headers);
+        strip(&mut parts.headers, &self.client.settings().dialect);
         Ok(Answer {
             body,
             headers: parts.headers,
@@ -156,8 +161,20 @@
         })
     }
 
+    /// Returns why the upstream did not run the request, if it states so.
+    fn not_run(&self, res: &Response<Incoming>) -> Option<NotRun> {
+        let stated = res.headers().get(&self.client.settings().dialect.not_run);
+        if res.status() == StatusCode::MISDIRECTED_REQUEST {
+            return Some(NotRun::Fence);
+        }
+        let reason = String::from_utf8_lossy(stated?.as_bytes());
+        Some(NotRun::parse(&reason))
+    }
+
     fn check_id(&self, headers: &HeaderMap) -> Result<(), DispatchError> {
-        let mut ids = headers.get_all(REQUEST_ID).iter();
+        let mut ids = headers
+            .get_all(&self.client.settings().dialect.request_id)
+            .iter();
         let id = ids.next().map_or(&[][..], |id| id.as_bytes());
         if id != self.request_id.as_bytes() || ids.next().is_some() {
             let id = String::from_utf8_lossy(id).into_owned();
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -19,21 +19,11 @@
 use http::header::UPGRADE;
 use http_body_util::Full;
 
+use crate::Dialect;
 use crate::DispatchError;
 use crate::Request;
 
-/// Header with the id of a request, in both directions.
-pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("skylark-request-id");
-
-/// Header which states that a request did not run.
-pub(crate) const NOT_RUN: HeaderName = HeaderName::from_static("skylark-not-run");
-
-const DEADLINE_MS: HeaderName = HeaderName::from_static("skylark-deadline-ms");
-const FENCE: HeaderName = HeaderName::from_static("skylark-fence");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-const KEY: HeaderName = HeaderName::from_static("skylark-key");
-const UNIT: HeaderName = HeaderName::from_static("skylark-unit");
-const WORKSPACE: HeaderName = HeaderName::from_static("skylark-workspace");
 
 /// Start of the names of headers between home and upstream.
 const PREFIX: &str = "skylark-";
@@ -53,6 +43,7 @@
 pub(crate) fn encode(
     req: Request,
     address: SocketAddr,
+    dialect: &Dialect,
 ) -> Result<http::Request<Full<Bytes>>, DispatchError> {
     let mut res = http::Request::new(Full::new(req.body));
     *res.method_mut() =
@@ -62,26 +53,41 @@
         .filter(|uri| uri.path().starts_with('/') && uri.authority().is_none())
         .ok_or(DispatchError::Invalid("path"))?;
     let headers = res.headers_mut();
-    insert(headers, HOST, "address", Some(address.to_string()))?;
-    insert(headers, CONTENT_TYPE, "content type", req.content_type)?;
-    insert(headers, REQUEST_ID, "id", Some(req.request_id))?;
-    insert(headers, WORKSPACE, "workspace", req.workspace)?;
-    insert(headers, KEY, "key", req.key)?;
+    for (name, value) in &req.headers {
+        headers.append(name.clone(), value.clone());
+    }
+    if !headers.contains_key(HOST) {
+        insert(headers, &HOST, "address", Some(address.to_string()))?;
+    }
+    insert(headers, &CONTENT_TYPE, "content type", req.content_type)?;
+    insert(headers, &dialect.request_id, "id", Some(req.request_id))?;
+    insert(headers, &dialect.workspace, "workspace", req.workspace)?;
+    insert(headers, &dialect.key, "key", req.key)?;
+    if let Some(name) = &dialect.caller_service {
+        insert(headers, name, "caller's service", req.caller_service)?;
+    }
+    if let Some(name) = &dialect.target {
+        insert(headers, name, "upstream", req.instance)?;
+    }
     if let Some(grant) = req.grant {
-        insert(headers, UNIT, "unit", Some(grant.unit.to_string()))?;
-        insert(headers, FENCE, "fence", Some(grant.fence.to_string()))?;
+        if let Some(name) = &dialect.unit {
+            insert(headers, name, "unit", Some(grant.unit.to_string()))?;
+        }
+        if let Some(name) = &dialect.fence {
+            insert(headers, name, "fence", Some(grant.fence.to_string()))?;
+        }
     }
     Ok(res)
 }
 
 /// Sets the time until nobody waits for the answer.
-pub(crate) fn set_deadline(headers: &mut HeaderMap, remaining: Duration) {
+pub(crate) fn set_deadline(headers: &mut HeaderMap, name: &HeaderName, remaining: Duration) {
     let milliseconds = remaining.as_millis().min(u128::from(u64::MAX)) as u64;
-    headers.insert(DEADLINE_MS, HeaderValue::from(milliseconds));
+    headers.insert(name, HeaderValue::from(milliseconds));
 }
 
 /// Removes the headers that the caller must not get.
-pub(crate) fn strip(headers: &mut HeaderMap) {
+pub(crate) fn strip(headers: &mut HeaderMap, dialect: &Dialect) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
@@ -93,7 +99,12 @@
         .keys()
         .filter(|name| name.as_str().starts_with(PREFIX))
         .cloned();
-    let removed: Vec<HeaderName> = own.chain(named).chain(OF_CONNECTION).collect();
+    let removed: Vec<HeaderName> = own
+        .chain(named)
+        .chain(OF_CONNECTION)
+        .chain(dialect.private.iter().cloned())
+        .chain([dialect.request_id.clone()])
+        .collect();
     for name in removed {
         headers.remove(name);
     }
@@ -101,7 +112,7 @@
 
 fn insert(
     headers: &mut HeaderMap,
-    name: HeaderName,
+    name: &HeaderName,
     part: &'static str,
     value: Option<String>,
 ) -> Result<(), DispatchError> {
--- a/crates/upstream/src/request.rs
+++ b/crates/upstream/src/request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use ids::RequestId;
 use ids::WorkspaceId;
 
@@ -13,12 +14,18 @@
 pub struct Request {
     /// The body.
     pub body: Bytes,
+    /// Service that the request comes from, absent if it is not known.
+    pub caller_service: Option<String>,
     /// Type of the body.
     pub content_type: Option<String>,
     /// Grant that the request runs under, absent for services without keys.
     pub grant: Option<Grant>,
+    /// Further headers of the caller.
+    pub headers: HeaderMap,
     /// Whether the request may run more than once with the same effect as once.
     pub idempotent: bool,
+    /// Life of the upstream that the request is meant for, absent if any life may run it.
+    pub instance: Option<String>,
     /// The key, absent for services without keys.
     pub key: Option<String>,
     /// Method of HTTP.
--- a/crates/upstream/src/upstream_client.rs
+++ b/crates/upstream/src/upstream_client.rs
@@ -75,7 +75,7 @@
     /// Returns why there is no answer. [`DispatchError::is_not_run`] tells whether the request may have run.
     pub async fn dispatch(&self, req: Request, deadline: Instant) -> Result<Answer, DispatchError> {
         let exchange = Exchange::new(self, &req, deadline);
-        let req = encode(req, self.shared.address)?;
+        let req = encode(req, self.shared.address, &self.shared.settings.dialect)?;
         let _turn = timeout_at(deadline.into(), self.shared.turns.acquire())
             .await
             .map_err(|_| DispatchError::NoConnection)?;
@@ -120,6 +120,9 @@
     ///
     /// Returns why the upstream may not have been told.
     pub async fn cancel(&self, request_id: &RequestId) -> Result<bool, ControlError> {
+        if !self.shared.settings.dialect.has_orders {
+            return Ok(true);
+        }
         let order = CancelOrder { request_id };
         let cancelled: Cancelled = self.shared.control.cancel(&order).await?;
         Ok(cancelled.cancelled)
--- /dev/null
+++ b/crates/wire/src/header_decoder.rs
@@ -0,0 +1,47 @@
+//! Repeated headers, as they are received.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+
+use crate::Header;
+use crate::header_encoder::TABLE_HEADERS;
+
+/// Restores headers that [`crate::header_encoder::HeaderEncoder`] has shortened.
+#[derive(Debug, Default)]
+pub(crate) struct HeaderDecoder {
+    table: BTreeMap<u32, (String, Bytes)>,
+}
+
+impl HeaderDecoder {
+    /// Restores headers, in the order in which they were sent. Returns `None` if a place is not known.
+    pub(crate) fn decode(&mut self, headers: &mut [Header]) -> Option<()> {
+        headers
+            .iter_mut()
+            .try_for_each(|header| self.restore(header))
+    }
+
+    fn restore(&mut self, header: &mut Header) -> Option<()> {
+        if header.place > TABLE_HEADERS || header.name_place > TABLE_HEADERS {
+            return None;
+        }
+        if header.place > 0 && header.name.is_empty() {
+            let (name, value) = self.table.get(&header.place)?;
+            header.name.clone_from(name);
+            header.value.clone_from(value);
+        } else if header.place > 0 {
+            let entry = (header.name.clone(), header.value.clone());
+            self.table.insert(header.place, entry);
+        } else if header.name_place > 0 && header.name.is_empty() {
+            header
+                .name
+                .clone_from(&self.table.get(&header.name_place)?.0);
+        } else if header.name_place > 0 {
+            let entry = (header.name.clone(), Bytes::new());
+            self.table.insert(header.name_place, entry);
+        }
+        header.place = 0;
+        header.name_place = 0;
+        Some(())
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,8 @@
 mod datagram;
 mod datagram_error;
 mod handshake;
+mod header_decoder;
+mod header_encoder;
 mod heard;
 mod hello;
 mod identity;
--- a/crates/wire/src/link_opening.rs
+++ b/crates/wire/src/link_opening.rs
@@ -18,6 +18,8 @@
 use crate::handshake::Handshake;
 use crate::handshake::Side;
 use crate::handshake::shake_hands;
+use crate::header_decoder::HeaderDecoder;
+use crate::header_encoder::HeaderEncoder;
 use crate::reader::Reader;
 use crate::shared::Shared;
 use crate::writer::Writer;
@@ -98,11 +100,13 @@
     ));
     let reader = Reader {
         counters: counters.clone(),
+        headers: HeaderDecoder::default(),
         incoming: incoming_tx,
         session: handshake.incoming,
         shared: shared.clone(),
     };
     let writer = Writer {
+        headers: HeaderEncoder::default(),
         queue: queue_rx,
         session: handshake.outgoing,
         shared: shared.clone(),
--- a/crates/wire/src/message/dispatch.rs
+++ b/crates/wire/src/message/dispatch.rs
@@ -8,6 +8,8 @@
 use ids::WorkspaceId;
 use prost::Message;
 
+use crate::message::Header;
+
 /// A caller's request, from the entry to the home.
 #[derive(Clone, PartialEq, Message)]
 pub struct Dispatch {
@@ -71,7 +73,19 @@
     /// Whether the entry vouches that no earlier request with this idempotency key was sent.
     #[prost(bool, tag = "20")]
     pub vouched: bool,
-    /// Hash of the tenant key, absent on open routes. The request is dropped once the key is withdrawn.
+    /// Start of the hash of the tenant key, absent on open routes. The request is dropped once the key is withdrawn.
     #[prost(string, optional, tag = "21")]
     pub tenant_key_hash: Option<String>,
+    /// Service that the request comes from, absent if it is not known.
+    #[prost(string, optional, tag = "22")]
+    pub caller_service: Option<String>,
+    /// Further headers of the caller.
+    #[prost(message, repeated, tag = "23")]
+    pub headers: Vec<Header>,
+    /// Rank of the request, 0 for the most urgent.
+    #[prost(uint32, tag = "24")]
+    pub priority: u32,
+    /// Longest time that the request waits at the home, in milliseconds, or 0 to wait until its deadline.
+    #[prost(uint64, tag = "25")]
+    pub queue_ms: u64,
 }
--- a/crates/wire/src/message/header.rs
+++ b/crates/wire/src/message/header.rs
@@ -12,4 +12,22 @@
     /// Value of the header.
     #[prost(bytes = "bytes", tag = "2")]
     pub value: Bytes,
+    /// Place of the header in the table of its link, 0 for none.
+    #[prost(uint32, tag = "3")]
+    pub(crate) place: u32,
+    /// Place of the header's name in the table of its link, 0 for none.
+    #[prost(uint32, tag = "4")]
+    pub(crate) name_place: u32,
+}
+
+impl Header {
+    /// Returns a header.
+    pub fn new(name: String, value: Bytes) -> Self {
+        Self {
+            name,
+            value,
+            place: 0,
+            name_place: 0,
+        }
+    }
 }
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -5,6 +5,7 @@
 use prost::Oneof;
 
 use crate::Call;
+use crate::Header;
 use crate::Notice;
 use crate::Reply;
 
@@ -34,6 +35,23 @@
     Response(ResponsePacket),
 }
 
+impl PacketBody {
+    /// Returns the headers of the caller or the upstream that the frame carries.
+    pub(crate) fn headers_mut(&mut self) -> Option<&mut Vec<Header>> {
+        match self {
+            Self::Request(RequestPacket {
+                call: Some(Call::Dispatch(dispatch)),
+                ..
+            }) => Some(&mut dispatch.headers),
+            Self::Response(ResponsePacket {
+                reply: Some(Reply::Answer(answer)),
+                ..
+            }) => Some(&mut answer.headers),
+            _ => None,
+        }
+    }
+}
+
 /// A notice.
 #[derive(Clone, Message, PartialEq)]
 pub(crate) struct NoticePacket {
--- a/crates/wire/src/reader.rs
+++ b/crates/wire/src/reader.rs
@@ -14,6 +14,7 @@
 use crate::Counters;
 use crate::Incoming;
 use crate::Responder;
+use crate::header_decoder::HeaderDecoder;
 use crate::packet::Failure;
 use crate::packet::Packet;
 use crate::packet::PacketBody;
@@ -25,6 +26,7 @@
 /// Reads the frames of a link until it closes.
 pub(crate) struct Reader {
     pub(crate) counters: Arc<Counters>,
+    pub(crate) headers: HeaderDecoder,
     pub(crate) incoming: Sender<Incoming>,
     pub(crate) session: Session,
     pub(crate) shared: Arc<Shared>,
@@ -70,12 +72,20 @@
             return None;
         };
         let body = Packet::decode(payload).ok().and_then(|packet| packet.body);
+        let body = body.and_then(|body| self.restore_headers(body));
         if body.is_none() {
             self.counters.count_malformed();
         }
         body
     }
 
+    fn restore_headers(&mut self, mut body: PacketBody) -> Option<PacketBody> {
+        if let Some(headers) = body.headers_mut() {
+            self.headers.decode(headers)?;
+        }
+        Some(body)
+    }
+
     fn receive(&mut self, body: PacketBody) {
         match body {
             PacketBody::Abandon(id) => {
--- a/crates/wire/src/writer.rs
+++ b/crates/wire/src/writer.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
+use crate::header_encoder::HeaderEncoder;
 use crate::packet::Packet;
 use crate::packet::PacketBody;
 use crate::session::Session;
@@ -20,6 +21,7 @@
 
 /// Writes the queued packets of a link, and pings a silent peer, until the link closes.
 pub(crate) struct Writer {
+    pub(crate) headers: HeaderEncoder,
     pub(crate) queue: UnboundedReceiver<Packet>,
     pub(crate) session: Session,
     pub(crate) shared: Arc<Shared>,
@@ -80,7 +82,7 @@
     async fn feed(
         &mut self,
         frames: &mut (impl Sink<Bytes, Error = io::Error> + Unpin),
-        packet: Packet,
+        mut packet: Packet,
     ) -> io::Result<()> {
         self.shared.sent(&packet);
         if let Some(PacketBody::Request(request)) = &packet.body
@@ -88,6 +90,9 @@
         {
             return Ok(());
         }
+        if let Some(headers) = packet.body.as_mut().and_then(PacketBody::headers_mut) {
+            self.headers.encode(headers);
+        }
         let frame = self.session.seal(&packet.encode_to_vec());
         frames.feed(frame).await
     }
