--- a/crates/bench/src/placement.rs
+++ b/crates/bench/src/placement.rs
@@ -157,6 +157,7 @@
     fn view(&self, me: &str, loads: &Loads, late: &BTreeMap<VmId, f64>, budget: usize) -> LoadView {
         let own = self.fleet.units_of(me);
         LoadView {
+            most_shards: None,
             tolerance: None,
             budget,
             peer_loads: late.clone(),
--- a/crates/cluster/src/plan_moves.rs
+++ b/crates/cluster/src/plan_moves.rs
@@ -50,12 +50,26 @@
         }
         moves.entry(to).or_default().push(unit);
     }
-    for (to, units) in plan.buckets() {
-        moves.entry(to).or_default().extend(units);
+    if view.most_shards.is_none() || plan.leaves() {
+        for (to, units) in plan.buckets() {
+            moves.entry(to).or_default().extend(units);
+        }
+    }
+    if view.most_shards.is_some() && !plan.leaves() {
+        keep_largest(&mut moves);
     }
     limit(moves, view.budget)
 }
 
+/// Keeps the units of the member that gets most, as each receiver costs a record.
+fn keep_largest(moves: &mut BTreeMap<VmId, Vec<Unit>>) {
+    let most = moves.values().map(Vec::len).max().unwrap_or_default();
+    let largest = moves.iter().find(|(_, units)| units.len() == most);
+    if let Some(vm) = largest.map(|(vm, _)| vm.clone()) {
+        moves.retain(|other, _| *other == vm);
+    }
+}
+
 /// Keeps a part of each member's units, so that late loads do not make one receive too much.
 fn limit(moves: BTreeMap<VmId, Vec<Unit>>, budget: usize) -> Vec<(VmId, Vec<Unit>)> {
     let total: usize = moves.values().map(Vec::len).sum();
@@ -175,6 +189,10 @@
         let is_me = *vm == self.me.join.vm;
         let is_isolated = !is_me && self.fleet.units.holds_single_pin(vm);
         let count = self.fleet.units.keyed_count_of(vm) as f64;
+        let has_room = self
+            .view
+            .most_shards
+            .is_none_or(|most| (count as usize) < most);
         let peer_load = self.view.peer_loads.get(vm).copied().unwrap_or(0.0);
         let load = match self.idle_load {
             _ if is_isolated => 0.0,
@@ -183,7 +201,7 @@
             Some(idle) => idle * count + peer_load,
         };
         Node {
-            eligible: self.may_receive(member) && !is_isolated,
+            eligible: self.may_receive(member) && !is_isolated && (is_me || has_room),
             load,
             member,
         }
--- a/crates/membership/src/agent_log.rs
+++ b/crates/membership/src/agent_log.rs
@@ -17,6 +17,7 @@
 use crate::times::REJOIN_PAUSE;
 use crate::times::REJOIN_PAUSE_MAX;
 use crate::times::RETENTION_PART;
+use crate::times::SETTLING_TIME;
 use crate::times::SNAPSHOT_INTERVAL;
 use crate::times::SNAPSHOT_RECORDS;
 use crate::times::SNAPSHOT_TURN;
@@ -55,6 +56,7 @@
         match (&self.life, &record.body) {
             (Life::Joining(joining), Body::Join(_)) if applied => {
                 self.life = Life::Active(joining.clone().joined(now, offset));
+                self.pace.rewitness = now + SETTLING_TIME;
                 let incarnation = offset;
                 actions.push(Action::Decide(Decision::Joined { incarnation }));
             }
--- a/crates/membership/src/agent_moves.rs
+++ b/crates/membership/src/agent_moves.rs
@@ -18,9 +18,11 @@
 use crate::pace::is_due;
 use crate::times::EVACUATION_BUDGET;
 use crate::times::EVACUATION_PAUSE;
+use crate::times::MOST_RANGES;
 use crate::times::MOVE_BUDGET;
 use crate::times::MOVE_PART;
 use crate::times::MOVE_PAUSE;
+use crate::times::POLLED_MOVE_PAUSE;
 
 impl Agent {
     /// Plans moves and pins. None starts while the log looks unhealthy, or others are under way.
@@ -31,7 +33,11 @@
             return;
         }
         let leaves = self.is_leaving();
-        let pause = if leaves { EVACUATION_PAUSE } else { MOVE_PAUSE };
+        let pause = match (leaves, polls) {
+            (true, _) => EVACUATION_PAUSE,
+            (false, true) => POLLED_MOVE_PAUSE,
+            (false, false) => MOVE_PAUSE,
+        };
         if !is_due(&mut self.pace.moves, now, pause) {
             return;
         }
@@ -41,6 +47,7 @@
             MOVE_BUDGET.max(self.holdings.len() / MOVE_PART)
         };
         self.loads.stopping = self.stop.is_some() || self.upstream.is_draining();
+        self.loads.most_shards = polls.then_some(MOST_RANGES);
         self.loads.tolerance = self.cfg.load_tolerance;
         self.plan_moves(actions);
         if !leaves && !polls {
--- a/crates/membership/src/agent_operators.rs
+++ b/crates/membership/src/agent_operators.rs
@@ -45,11 +45,11 @@
         let first = usize::try_from(revision).unwrap_or_default() % members.len().max(1);
         let position = position.unwrap_or(members.len());
         let turn = (position + first) % members.len().max(1);
-        let due = self.pace.declared + DECLARATION_TURN * u32::try_from(turn).unwrap_or(u32::MAX);
-        match fleet.revision() {
-            0 => due.max(FIRST_DECLARATION),
-            _ => due,
-        }
+        let first = match fleet.revision() {
+            0 => self.pace.declared.max(FIRST_DECLARATION),
+            _ => self.pace.declared,
+        };
+        first + DECLARATION_TURN * u32::try_from(turn).unwrap_or(u32::MAX)
     }
 
     fn next_publication(&self) -> Option<Body> {
--- a/crates/membership/src/agent_witness.rs
+++ b/crates/membership/src/agent_witness.rs
@@ -12,6 +12,7 @@
 use crate::Heartbeat;
 use crate::HeartbeatAnswer;
 use crate::pace::is_due;
+use crate::times::BEHIND_PULL;
 use crate::times::PULL_PAUSE;
 use crate::times::REWITNESS_PAUSE;
 
@@ -55,7 +56,12 @@
         if self.life.witness() == Some(answer.incarnation) {
             self.lease.answered(answer);
         }
-        let is_behind = answer.next > self.log.next() && !self.log.is_healthy(now);
+        if answer.next <= self.log.next() {
+            self.pace.behind = None;
+            return;
+        }
+        let since = *self.pace.behind.get_or_insert(now);
+        let is_behind = !self.log.is_healthy(now) || now >= since + BEHIND_PULL;
         if is_behind && is_due(&mut self.pace.pull, now, PULL_PAUSE) {
             self.pull(&answer.witness, actions);
         }
--- a/crates/membership/src/pace.rs
+++ b/crates/membership/src/pace.rs
@@ -9,6 +9,8 @@
 /// When paced steps are due next.
 #[derive(Debug, Default)]
 pub(crate) struct Pace {
+    /// Time since which a witness has been known to have read more of the log.
+    pub(crate) behind: Option<Duration>,
     /// Time at which operators were last seen to declare something new.
     pub(crate) declared: Duration,
     /// Time of the next plan of moves.
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -47,7 +47,10 @@
 pub(crate) const FIRST_DECLARATION: Duration = Duration::from_millis(2_500);
 
 /// Time after which the next member in turn brings into the log what operators declare.
-pub(crate) const DECLARATION_TURN: Duration = Duration::from_millis(100);
+pub(crate) const DECLARATION_TURN: Duration = Duration::from_millis(150);
+
+/// Ranges of keys up to which a member with an upstream that polls attracts more. More would not fit into an answer.
+pub(crate) const MOST_RANGES: usize = 165;
 
 /// Part of what is left of a lease for which the upstream holds its grants. Its clock may run 2% slow.
 pub(crate) const HOLD_PART: f64 = 0.975;
@@ -74,6 +77,9 @@
 /// Time within which a graceful stop ends.
 pub(crate) const STOP_DEADLINE: Duration = Duration::from_secs(20);
 
+/// Time after a join in which a member with witnesses asks for no better ones, since others may be about to join.
+pub(crate) const SETTLING_TIME: Duration = Duration::from_millis(1_500);
+
 /// Time between two replacements of witnesses by one member.
 pub(crate) const REWITNESS_PAUSE: Duration = Duration::from_secs(1);
 
@@ -83,6 +89,10 @@
 /// Time between two plans of moves.
 pub(crate) const MOVE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time between two plans of moves of a member whose upstream polls its grants. Each move keeps its units from being
+/// served until the next owner's upstream checks in.
+pub(crate) const POLLED_MOVE_PAUSE: Duration = Duration::from_millis(2_500);
+
 /// Most units that an owner moves at a time to even out load, if it has few.
 pub(crate) const MOVE_BUDGET: usize = 32;
 
@@ -92,6 +102,9 @@
 /// Most units that a member that stops or is taken out moves at a time.
 pub(crate) const EVACUATION_BUDGET: usize = 256;
 
+/// Time for which a member is behind its witnesses after which it pulls records from them.
+pub(crate) const BEHIND_PULL: Duration = Duration::from_millis(700);
+
 /// Time between two pulls from peers.
 pub(crate) const PULL_PAUSE: Duration = Duration::from_millis(500);
 
@@ -108,7 +121,7 @@
 pub(crate) const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(600);
 
 /// Part of the time for which the log keeps records after which a new snapshot is written: one in so many.
-pub(crate) const RETENTION_PART: u32 = 4;
+pub(crate) const RETENTION_PART: u32 = 3;
 
 /// Length of a log outage after which a new snapshot is written, since the last may have expired.
 pub(crate) const LONG_OUTAGE: Duration = Duration::from_secs(30);
--- a/crates/policy/src/pacing.rs
+++ b/crates/policy/src/pacing.rs
@@ -14,6 +14,8 @@
     pub ahead_expiry: Duration,
     /// Time of demand that tokens are asked for in advance.
     pub ahead_time: Duration,
+    /// Shortest time after which a caller should send a request again that got no token.
+    pub least_retry_after: Duration,
     /// Time for which a request waits for a token at large rates.
     pub shortest_wait: Duration,
     /// Tokens that a request waits for at small rates.
@@ -25,8 +27,9 @@
     pub const RELAXED: Self = Self {
         ahead_expiry: Duration::from_millis(1_500),
         ahead_time: Duration::from_millis(1_500),
-        shortest_wait: Duration::from_millis(50),
-        wait_tokens: 2,
+        least_retry_after: Duration::from_millis(20),
+        shortest_wait: Duration::from_millis(15),
+        wait_tokens: 0,
     };
 
     /// Returns the longest time for which a batch counts as outstanding.
@@ -40,6 +43,7 @@
         Self {
             ahead_expiry: Duration::from_millis(500),
             ahead_time: Duration::from_millis(200),
+            least_retry_after: Duration::ZERO,
             shortest_wait: Duration::from_millis(250),
             wait_tokens: 8,
         }
--- a/crates/policy/src/token_cache.rs
+++ b/crates/policy/src/token_cache.rs
@@ -92,7 +92,8 @@
 
     fn retry_after(&self) -> Duration {
         let rate = self.limit.rate_requests_per_second.max(1);
-        self.expected_wait() + Duration::from_secs(1) / rate
+        let expected = self.expected_wait() + Duration::from_secs(1) / rate;
+        expected.max(self.pacing.least_retry_after)
     }
 
     fn ahead(&self, now: Duration) -> u32 {
--- a/crates/router/src/control/control_thread.rs
+++ b/crates/router/src/control/control_thread.rs
@@ -194,7 +194,8 @@
         let Some(me) = fleet.members().get(&self.parts.shared.vm) else {
             return Vec::new();
         };
-        if fleet.unit_of(&me.join.service, "").is_none() {
+        let declared = fleet.plans().services.get(&me.join.service);
+        if declared.is_none_or(|declared| !declared.is_keyed()) {
             return Vec::new();
         }
         let owned = fleet.units_of(&me.join.vm).map(|(unit, _)| unit);
--- a/crates/router/src/control/log_reader.rs
+++ b/crates/router/src/control/log_reader.rs
@@ -26,6 +26,8 @@
     cursor: Arc<AtomicU64>,
     log: Arc<dyn Log>,
     shared: Arc<Shared>,
+    /// Pause after a read with records, so that the next read finds several.
+    pause: Duration,
     wait: Duration,
 }
 
@@ -40,12 +42,14 @@
         cursor: Arc<AtomicU64>,
         log: Arc<dyn Log>,
         shared: Arc<Shared>,
+        pause: Duration,
         wait: Duration,
     ) -> std::io::Result<()> {
         let reader = Self {
             control,
             cursor,
             log,
+            pause,
             shared,
             wait,
         };
@@ -55,11 +59,23 @@
     }
 
     fn run(&self) {
+        let mut wait = Duration::ZERO;
         loop {
             let from = self.cursor.load(Ordering::SeqCst).max(1);
-            match self.log.read(from, READ_RECORDS, self.wait) {
-                Ok(batch) => self.pass_on(batch),
-                Err(error) => self.report(&error),
+            match self.log.read(from, READ_RECORDS, wait) {
+                Ok(batch) => {
+                    let has_records = !batch.records.is_empty();
+                    self.pass_on(batch);
+                    if has_records {
+                        thread::sleep(self.pause);
+                    }
+                    wait = self.wait;
+                }
+                Err(error) => {
+                    self.report(&error);
+                    // The next read tells at once whether the log is back.
+                    wait = Duration::ZERO;
+                }
             }
         }
     }
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -70,6 +70,7 @@
             deadline: self.queue_deadline(),
             id: self.dispatch.request_id.clone(),
             item: Waiting {
+                arrived: self.home.shared.clock.now(),
                 deadline: self.deadline,
                 fingerprint: self.dispatch.fingerprint.clone(),
                 grant: grant_of(&self.dispatch),
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -21,9 +21,8 @@
 use policy::Reason;
 use policy::Statement;
 use policy::Ticket;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
 use wire::Ask;
 use wire::Dispatch;
 use wire::Fate;
@@ -52,14 +51,19 @@
 /// Longest time that a request waits because its idempotency key was made by a clock ahead of this one.
 const LONGEST_CLOCK_WAIT: Duration = Duration::from_secs(2);
 
-/// Time between two looks at the queue.
+/// Time between two looks at the queue while requests wait.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Time between two looks at the queue while it is empty.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+
 /// Runs requests on the local upstream.
 #[derive(Debug)]
 pub(crate) struct Home {
     arrivals: Arc<Arrivals>,
     pub(crate) control: ControlSender,
+    /// Told when a request waits.
+    queued: Notify,
     pub(crate) shared: Arc<Shared>,
     state: Mutex<HomeState>,
 }
@@ -74,6 +78,7 @@
         Self {
             arrivals,
             control,
+            queued: Notify::new(),
             shared,
             state: Mutex::new(state),
         }
@@ -166,6 +171,9 @@
             refuse(other, Reason::Overloaded);
         }
         self.pump(&mut state);
+        if !state.queue.is_empty() {
+            self.queued.notify_one();
+        }
     }
 
     /// Starts waiting requests while the upstream can take them.
@@ -260,10 +268,13 @@
 
     /// Looks after the queue until the process ends.
     pub(crate) async fn look_after(self: Arc<Self>) {
-        let mut tick = interval(TICK);
-        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            tick.tick().await;
+            let is_empty = self.lock().queue.is_empty();
+            let pause = if is_empty { IDLE_TICK } else { TICK };
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.queued.notified(), if is_empty => continue,
+            }
             let now = self.shared.clock.now();
             let view = self.shared.view();
             let mut state = self.lock();
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -70,7 +70,8 @@
 pub(crate) struct Running {
     pub(crate) fingerprint: Fingerprint,
     pub(crate) key: Option<String>,
-    pub(crate) started: Duration,
+    /// Time at which it came to the home.
+    pub(crate) arrived: Duration,
     pub(crate) unit: Option<Unit>,
     pub(crate) workspace: WorkspaceId,
 }
@@ -113,7 +114,7 @@
 impl HomeState {
     pub(crate) fn new(now: Duration, limits: &Limits, policy: &PolicySettings) -> Self {
         Self {
-            book: UnitBook::new(policy.load_memory()),
+            book: UnitBook::new(policy.load_memory(), policy.weighs_request_time),
             cold: ColdPace::default(),
             held: None,
             learned: 0,
@@ -144,6 +145,7 @@
         let declared = view.fleet.plans().services.get(&announcement.service);
         let upstream = LocalUpstream::new(Arc::clone(announcement), declared, shared);
         self.upstream = Some(upstream);
+        self.learn_cold_start(view);
     }
 
     /// Takes in what the fleet knows of requests that crash upstreams.
@@ -153,6 +155,11 @@
         }
         self.learned = view.fleet.next();
         self.suspects.set_fleet(standings(&view.fleet, unix_ms()));
+        self.learn_cold_start(view);
+    }
+
+    /// Takes in how many requests per second the upstream bears while it is cold.
+    fn learn_cold_start(&mut self, view: &View) {
         if let Some(upstream) = &self.upstream {
             let service = &upstream.announcement.service;
             let declared = view.fleet.plans().services.get(service);
@@ -228,7 +235,7 @@
         let ran = matches!(completion, Completion::Answered { .. });
         let running = self.running.remove(&ticket)?;
         if let Some(unit) = &running.unit {
-            let busy = now.saturating_sub(running.started);
+            let busy = now.saturating_sub(running.arrived);
             self.book.ended(unit, running.key.as_deref(), busy);
         }
         self.suspects.finished(ticket, ran)
--- a/crates/router/src/home/pump.rs
+++ b/crates/router/src/home/pump.rs
@@ -128,7 +128,7 @@
         let running = Running {
             fingerprint: queued.item.fingerprint,
             key: queued.item.key,
-            started: self.now,
+            arrived: queued.item.arrived,
             unit,
             workspace: queued.workspace,
         };
--- a/crates/router/src/home/unit_book.rs
+++ b/crates/router/src/home/unit_book.rs
@@ -11,6 +11,12 @@
 use crate::home::hot_keys::HotKeys;
 use crate::home::moving_mean::MovingMean;
 
+/// Part that the newest request has in the mean time of a request.
+const REQUEST_TIME_PART: f64 = 0.02;
+
+/// Time of a request at which its load counts as measured, in seconds.
+const REFERENCE_TIME: f64 = 0.1;
+
 /// What runs on each unit, and how much of the upstream it takes.
 #[derive(Debug)]
 pub(crate) struct UnitBook {
@@ -22,11 +28,15 @@
     loads: BTreeMap<Unit, MovingMean>,
     /// Time within which a new load counts for 63% of the mean.
     memory: Duration,
+    /// Whether loads are weighed by the time of a request, so that slow upstreams get fewer units.
+    weighs_time: bool,
     running: BTreeMap<Unit, usize>,
+    /// Mean time of a request with its wait, in seconds, `None` before the first.
+    request_time: Option<f64>,
 }
 
 impl UnitBook {
-    pub(crate) fn new(memory: Duration) -> Self {
+    pub(crate) fn new(memory: Duration, weighs_time: bool) -> Self {
         Self {
             busy: BTreeMap::new(),
             busy_since: Duration::ZERO,
@@ -35,6 +45,8 @@
             known: BTreeMap::new(),
             loads: BTreeMap::new(),
             memory,
+            weighs_time,
+            request_time: None,
             running: BTreeMap::new(),
         }
     }
@@ -53,6 +65,9 @@
             }
         }
         *self.busy.entry(unit.clone()).or_default() += busy;
+        let time = busy.as_secs_f64();
+        let mean = self.request_time.unwrap_or(time);
+        self.request_time = Some(mean + (time - mean) * REQUEST_TIME_PART);
         if let Some(key) = key {
             self.hot_keys.add(key, busy);
         }
@@ -71,8 +86,12 @@
         }
         let keys = self.hot_keys.take(elapsed, self.memory);
         let units = self.loads.iter();
+        let slowness = match self.request_time {
+            Some(time) if self.weighs_time => time / REFERENCE_TIME,
+            _ => 1.0,
+        };
         let units = units
-            .map(|(unit, mean)| (unit.clone(), load_of(unit, mean.value(), &keys)))
+            .map(|(unit, mean)| (unit.clone(), load_of(unit, mean.value() * slowness, &keys)))
             .collect();
         Loads { keys, units }
     }
--- a/crates/router/src/home/waiting.rs
+++ b/crates/router/src/home/waiting.rs
@@ -13,6 +13,8 @@
 /// A request that waits for the local upstream.
 #[derive(Debug)]
 pub(crate) struct Waiting {
+    /// Time at which the request came to the home.
+    pub(crate) arrived: Duration,
     /// Time after which nobody waits for the answer.
     pub(crate) deadline: Duration,
     pub(crate) fingerprint: Fingerprint,
--- a/crates/router/src/limits/meters.rs
+++ b/crates/router/src/limits/meters.rs
@@ -14,8 +14,7 @@
 use policy::Batch;
 use policy::Limit;
 use policy::Ticket;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
+use tokio::sync::Notify;
 use wire::TokensOutcome;
 
 use crate::limits::Buckets;
@@ -31,9 +30,12 @@
 /// Time after which an ask for tokens is taken as unanswered.
 const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Time between two looks at meters with something to decide.
+/// Time between two looks at meters while requests wait for tokens.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time between two looks at meters while no request waits.
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Decides whether requests are within the rates of their workspaces.
 pub(crate) struct Meters {
     adopted: Mutex<Arc<BTreeMap<Unit, Fence>>>,
@@ -42,6 +44,8 @@
     meters: Mutex<BTreeMap<WorkspaceId, WorkspaceMeter>>,
     shared: Arc<Shared>,
     spread: u64,
+    /// Told when a request begins to wait for a token.
+    waiting: Notify,
 }
 
 /// Forgets a waiting request when its caller has gone.
@@ -73,6 +77,7 @@
             meters: Mutex::default(),
             shared,
             spread,
+            waiting: Notify::new(),
         }
     }
 
@@ -119,16 +124,26 @@
         let start = meter.start(now, limit);
         let asks = meter.poll(now);
         drop(meters);
+        if matches!(start, Start::Waiting { .. }) {
+            self.waiting.notify_one();
+        }
         self.send(workspace, asks);
         start
     }
 
     /// Looks after meters until the process ends.
     pub(crate) async fn run(self: Arc<Self>) {
-        let mut tick = interval(POLL_INTERVAL);
-        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            tick.tick().await;
+            let is_waiting = self.lock().values().any(WorkspaceMeter::is_waiting);
+            let pause = if is_waiting {
+                POLL_INTERVAL
+            } else {
+                IDLE_INTERVAL
+            };
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.waiting.notified(), if !is_waiting => continue,
+            }
             self.adopt_buckets();
             let now = self.shared.clock.now();
             let mut asks = Vec::new();
--- a/crates/router/src/limits/workspace_meter.rs
+++ b/crates/router/src/limits/workspace_meter.rs
@@ -119,6 +119,11 @@
         self.meter.has_reachable_owner()
     }
 
+    /// Tells whether requests wait for tokens.
+    pub(crate) fn is_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// Tells whether there is something to decide at `now`.
     pub(crate) fn is_due(&self, now: Duration) -> bool {
         self.meter.wake_at().is_some_and(|at| at <= now)
--- a/crates/router/src/process/parts.rs
+++ b/crates/router/src/process/parts.rs
@@ -142,6 +142,7 @@
             Arc::clone(&cursor),
             Arc::clone(&log),
             Arc::clone(&self.shared),
+            settings.log.read_pause(),
             settings.log.read_wait(),
         )?;
         let writer = LogWriter::start(log, Arc::clone(&self.shared))?;
--- a/crates/router/src/settings/log_service.rs
+++ b/crates/router/src/settings/log_service.rs
@@ -13,6 +13,9 @@
 pub struct LogService {
     /// Base addresses of the log service, such as `http://10.0.0.1:8080`, tried in turn.
     pub addresses: Vec<String>,
+    /// Pause after a read with records, in milliseconds. It makes reads fewer, and records later.
+    #[serde(default)]
+    pub read_pause_ms: u64,
     /// Time that one read waits for new records, in milliseconds.
     #[serde(default = "default_read_wait_ms")]
     pub read_wait_ms: u64,
@@ -34,6 +37,7 @@
 
 impl LogService {
     pub(crate) fn check(&self) -> Result<(), SettingsError> {
+        check_range("log.read_pause_ms", self.read_pause_ms, 0, 1_000)?;
         check_range("log.read_wait_ms", self.read_wait_ms, 10, 30_000)?;
         if let Some(retention_ms) = self.retention_ms {
             check_range("log.retention_ms", retention_ms, 1_000, u64::MAX)?;
@@ -52,6 +56,11 @@
         Ok(())
     }
 
+    /// Returns the pause after a read with records.
+    pub fn read_pause(&self) -> Duration {
+        Duration::from_millis(self.read_pause_ms)
+    }
+
     /// Returns the time that one read waits for new records.
     pub fn read_wait(&self) -> Duration {
         Duration::from_millis(self.read_wait_ms)
--- a/crates/router/src/settings/policy_settings.rs
+++ b/crates/router/src/settings/policy_settings.rs
@@ -26,6 +26,8 @@
     pub queue: QueueKind,
     /// How the rates of workspaces are enforced.
     pub rate: RateKind,
+    /// Whether loads are weighed by the mean time of a request, so that slow upstreams own fewer units.
+    pub weighs_request_time: bool,
     /// Latency that an upstream in another zone counts as having beyond its own, in milliseconds.
     pub zone_distance_ms: u64,
 }
@@ -82,6 +84,7 @@
             load_tolerance_percent: None,
             queue: QueueKind::Fair,
             rate: RateKind::Leased,
+            weighs_request_time: false,
             zone_distance_ms: 3,
         }
     }
