--- a/crates/router/src/entry/keyed.rs
+++ b/crates/router/src/entry/keyed.rs
@@ -125,6 +125,7 @@
             Reason::LeaseLapsed
                 | Reason::NotOwner
                 | Reason::OwnerUnreachable
+                | Reason::Stopping
                 | Reason::UpstreamSilent
         )
 }
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -315,6 +315,18 @@
         }
     }
 
+    /// Takes in that a life of the upstream is about to stop, or has stopped. It gets requests for some more time, in
+    /// which its units pass to other members.
+    pub(crate) fn report_leaving(&self, instance: &str) {
+        let now = self.shared.clock.now();
+        let mut state = self.lock();
+        let present = state.leaving.as_ref();
+        if present.is_none_or(|(life, _)| life != instance) {
+            let until = now + self.shared.limits.drain();
+            state.leaving = Some((instance.to_owned(), until));
+        }
+    }
+
     /// Returns the upstream that was accepted.
     pub(crate) fn upstream(&self) -> Option<LocalUpstream> {
         self.lock().upstream.clone()
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -56,6 +56,8 @@
     pub(crate) held: Option<Queued<Waiting>>,
     learned: Offset,
     served: Arc<BTreeMap<Unit, Fence>>,
+    /// Life of an upstream that is about to stop, and the time from which it gets no more requests.
+    pub(crate) leaving: Option<(String, Duration)>,
     pub(crate) limiter: Box<dyn Limiter + Send>,
     pub(crate) memory: RequestMemory<StoredAnswer>,
     pub(crate) queue: Box<dyn Queue<Item = Waiting> + Send>,
@@ -118,6 +120,7 @@
             cold: ColdPace::default(),
             held: None,
             learned: 0,
+            leaving: None,
             served: Arc::default(),
             limiter: limiter(now, limits, policy.limit),
             memory: RequestMemory::new(MemoryBounds::default(), unix_ms()),
@@ -218,6 +221,14 @@
         }
     }
 
+    /// Tells whether the upstream has said that it stops, so long ago that it gets no more requests.
+    pub(crate) fn has_left(&self, now: Duration) -> bool {
+        let upstream = self.upstream.as_ref();
+        let instance = upstream.map(|upstream| &upstream.announcement.instance);
+        let leaving = self.leaving.as_ref();
+        leaving.is_some_and(|(life, until)| instance == Some(life) && now >= *until)
+    }
+
     /// Takes out the units that are drained and on which nothing runs.
     pub(crate) fn take_drained(&mut self) -> BTreeSet<Unit> {
         let busy = self.running.values().filter_map(Running::pinned).collect();
--- a/crates/router/src/home/pump.rs
+++ b/crates/router/src/home/pump.rs
@@ -102,6 +102,9 @@
         if !self.view.informed {
             return Some(Reason::Uninformed);
         }
+        if self.state.has_left(self.now) {
+            return Some(Reason::Stopping);
+        }
         let fleet = &self.view.fleet;
         let tenant_key = waiting.tenant_key.as_ref();
         if tenant_key.is_some_and(|prefix| !fleet.has_key(prefix)) {
--- a/crates/router/src/settings/limits.rs
+++ b/crates/router/src/settings/limits.rs
@@ -19,6 +19,8 @@
     pub caller_connections: u64,
     /// Deadline of a request that states none, in milliseconds.
     pub default_deadline_ms: u64,
+    /// Time for which an upstream that has said that it stops gets requests, in milliseconds.
+    pub drain_ms: u64,
     /// Largest head of a caller's request, in bytes.
     pub header_bytes: u64,
     /// Time that a caller has to send the head of a request, in milliseconds.
@@ -48,6 +50,7 @@
             body_bytes: 1 << 20,
             caller_connections: 1000,
             default_deadline_ms: 5_000,
+            drain_ms: 1_500,
             header_bytes: 32 << 10,
             header_timeout_ms: 5_000,
             kept_decisions: 5_000,
@@ -79,6 +82,7 @@
                 10,
                 self.max_deadline_ms,
             ),
+            ("limits.drain_ms", self.drain_ms, 0, 60_000),
             ("limits.header_bytes", self.header_bytes, 8 << 10, 256 << 10),
             (
                 "limits.header_timeout_ms",
@@ -111,6 +115,11 @@
         Duration::from_millis(self.default_deadline_ms)
     }
 
+    /// Returns the time for which an upstream that has said that it stops gets requests.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+
     /// Returns the time that a caller has to send the head of a request.
     pub fn header_timeout(&self) -> Duration {
         Duration::from_millis(self.header_timeout_ms)
