Take SIGHUP and changes of the settings file; send nothing on a range that the upstream does not hold

Change: the home remembers until the next check-in which granted ranges its upstream does not hold; the process reads its settings again.

--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -175,6 +175,11 @@
             }
             DispatchError::NotRun(NotRun::Fence) => {
                 permit.end(Completion::Cancelled);
+                if let Some((unit, _)) = grant_of(&self.dispatch)
+                    && upstream.announcement.polls_grants
+                {
+                    self.home.report_not_held(unit);
+                }
                 started.refuse_not_run(Reason::LeaseLapsed, None)
             }
             DispatchError::NotRun(NotRun::Other(_) | NotRun::Shed) => {
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -60,6 +60,8 @@
     pub(crate) leaving: Option<(String, Duration)>,
     pub(crate) limiter: Box<dyn Limiter + Send>,
     pub(crate) memory: RequestMemory<StoredAnswer>,
+    /// Units that the upstream said it does not hold, until its next report.
+    pub(crate) not_held: BTreeSet<Unit>,
     pub(crate) queue: Box<dyn Queue<Item = Waiting> + Send>,
     pub(crate) running: BTreeMap<Ticket, Running>,
     pub(crate) suspects: Suspects,
@@ -123,6 +125,7 @@
             leaving: None,
             served: Arc::default(),
             limiter: limiter(now, limits, policy.limit),
+            not_held: BTreeSet::new(),
             memory: RequestMemory::new(MemoryBounds::default(), unix_ms()),
             queue: queue(limits, policy.queue),
             running: BTreeMap::new(),
--- a/crates/router/src/home/pump.rs
+++ b/crates/router/src/home/pump.rs
@@ -111,6 +111,9 @@
             return Some(Reason::KeyWithdrawn);
         }
         let (unit, fence) = waiting.grant.as_ref()?;
+        if self.state.not_held.contains(unit) {
+            return Some(Reason::LeaseLapsed);
+        }
         if self.view.serving.get(unit) != Some(fence) {
             return Some(Reason::NotOwner);
         }
--- a/crates/router/src/process/mod.rs
+++ b/crates/router/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod control_thread;
 mod listeners;
 mod parts;
+mod reload;
 mod run;
 
 pub use run::run;
--- /dev/null
+++ b/crates/router/src/process/reload.rs
@@ -0,0 +1,74 @@
+//! Changes of the settings file while the process runs.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::Result;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::Settings;
+
+/// Time between two looks at the settings file, which may change without a signal.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Takes in changes of the settings file.
+pub(crate) struct Reload {
+    hangup: Signal,
+    path: PathBuf,
+    text: Option<String>,
+}
+
+impl Reload {
+    /// Begins to watch for the signal that the settings have changed, and the settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the signal cannot be watched for.
+    pub(crate) fn new(path: PathBuf) -> Result<Self> {
+        let text = std::fs::read_to_string(&path).ok();
+        Ok(Self {
+            hangup: signal(SignalKind::hangup())?,
+            path,
+            text,
+        })
+    }
+
+    /// Takes in changes until the process ends.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let is_asked = tokio::select! {
+                _ = self.hangup.recv() => true,
+                () = tokio::time::sleep(LOOK_INTERVAL) => false,
+            };
+            self.look(is_asked);
+        }
+    }
+
+    fn look(&mut self, is_asked: bool) {
+        let path = &self.path;
+        let text = match std::fs::read_to_string(path) {
+            Ok(text) => text,
+            Err(error) if is_asked => {
+                log::error!("settings file `{}` cannot be read: {error}", path.display());
+                return;
+            }
+            Err(_) => return,
+        };
+        if self.text.as_ref() == Some(&text) {
+            return;
+        }
+        self.text = Some(text);
+        match Settings::load(path) {
+            Ok(settings) => {
+                log::set_max_level(settings.log_level);
+                log::warn!(
+                    "the settings have changed: the log level is {}, and everything else holds from the next start on",
+                    settings.log_level
+                );
+            }
+            Err(error) => log::error!("the settings have changed and are not taken: {error}"),
+        }
+    }
+}
--- a/crates/router/src/process/run.rs
+++ b/crates/router/src/process/run.rs
@@ -1,5 +1,6 @@
 //! Start and stop of the process.
 
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,17 +17,18 @@
 use crate::logging;
 use crate::process::listeners::Listeners;
 use crate::process::parts::Process;
+use crate::process::reload::Reload;
 
 /// Time in which the last replies to peers leave.
 const FLUSH: Duration = Duration::from_millis(50);
 
-/// Runs the process until it has stopped gracefully.
+/// Runs the process until it has stopped gracefully. `path` is the file that the settings are from.
 ///
 /// # Errors
 ///
 /// Returns why the process cannot start, or could not stop in time.
-pub fn run(settings: &Settings) -> Result<()> {
-    start(settings, None)
+pub fn run(settings: &Settings, path: &Path) -> Result<()> {
+    start(settings, path, None)
 }
 
 /// Runs the process in an environment other than this product's own interface, until it has stopped gracefully.
@@ -34,11 +36,15 @@
 /// # Errors
 ///
 /// Returns why the process cannot start, or could not stop in time.
-pub fn run_in(settings: &Settings, environment: Arc<dyn Environment>) -> Result<()> {
-    start(settings, Some(environment))
+pub fn run_in(settings: &Settings, path: &Path, environment: Arc<dyn Environment>) -> Result<()> {
+    start(settings, path, Some(environment))
 }
 
-fn start(settings: &Settings, environment: Option<Arc<dyn Environment>>) -> Result<()> {
+fn start(
+    settings: &Settings,
+    path: &Path,
+    environment: Option<Arc<dyn Environment>>,
+) -> Result<()> {
     logging::start(settings)?;
     let threads = usize::try_from(settings.limits.traffic_threads)?;
     let runtime = Builder::new_multi_thread()
@@ -47,10 +53,15 @@
         .enable_all()
         .build()
         .context("the traffic threads cannot be started")?;
-    runtime.block_on(serve(settings, environment))
+    runtime.block_on(serve(settings, path, environment))
 }
 
-async fn serve(settings: &Settings, environment: Option<Arc<dyn Environment>>) -> Result<()> {
+async fn serve(
+    settings: &Settings,
+    path: &Path,
+    environment: Option<Arc<dyn Environment>>,
+) -> Result<()> {
+    tokio::spawn(Reload::new(path.to_owned())?.run());
     let process = Process::new(settings, environment)?;
     let listeners = Listeners::bind(settings)?;
     let stop = CancellationToken::new();
--- a/crates/skylarkrudder/src/main.rs
+++ b/crates/skylarkrudder/src/main.rs
@@ -34,7 +34,7 @@
         println!("settings file `{}` is valid", path.display());
         return ExitCode::SUCCESS;
     }
-    match router::run(&settings) {
+    match router::run(&settings, path) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error:#}");
