--- a/crates/cluster/src/units.rs
+++ b/crates/cluster/src/units.rs
@@ -186,7 +186,11 @@
         from: Option<&VmId>,
         candidates: &[Candidate<'_>],
     ) -> Option<Change> {
-        let subject = hash(&unit.to_string());
+        let Unit::Shard { service, .. } = unit else {
+            return self.assign(fence, unit, from, candidates);
+        };
+        // One order of candidates for all ranges of a service, so that neighbours differ.
+        let subject = hash(service);
         let level = |candidate: &Candidate<'_>| {
             let units = self.keyed_count_of(&candidate.member.join.vm) + 1;
             units as f64 / f64::from(candidate.member.join.slots)
--- /dev/null
+++ b/crates/policy/tests/ranked.rs
@@ -0,0 +1,109 @@
+//! The queue by rank, and the pace of cold upstreams.
+
+use std::time::Duration;
+
+use policy::ColdPace;
+use policy::Pushed;
+use policy::Queue;
+use policy::Queued;
+use policy::RankedQueue;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn request(id: &str, rank: u32, deadline: Duration) -> Queued<()> {
+    Queued {
+        deadline,
+        id: id.to_owned(),
+        item: (),
+        rank,
+        weight: 1,
+        workspace: "acme".to_owned(),
+    }
+}
+
+fn next(queue: &mut RankedQueue<()>, now: Duration) -> Option<String> {
+    queue.pop(now).next.map(|request| request.id)
+}
+
+#[test]
+fn urgent_requests_go_first_and_equals_in_order_of_arrival() {
+    let mut queue = RankedQueue::new(10);
+    for (id, rank) in [("late", 2), ("a", 1), ("b", 1), ("first", 0)] {
+        assert_eq!(
+            queue.push(request(id, rank, Duration::MAX)),
+            Pushed::Accepted
+        );
+    }
+    let order: Vec<_> = (0..4).map_while(|_| next(&mut queue, MS)).collect();
+    assert_eq!(order, ["first", "a", "b", "late"]);
+    assert_eq!(next(&mut queue, MS), None);
+}
+
+#[test]
+fn no_rank_starves() {
+    let mut queue = RankedQueue::new(100);
+    queue.push(request("patient", 9, Duration::MAX));
+    let mut popped = 0;
+    loop {
+        queue.push(request("urgent", 0, Duration::MAX));
+        popped += 1;
+        if next(&mut queue, MS).as_deref() == Some("patient") {
+            break;
+        }
+        assert!(
+            popped < 16,
+            "the request of the last rank waits without end"
+        );
+    }
+}
+
+#[test]
+fn requests_leave_when_their_time_is_over_or_they_are_cancelled() {
+    let mut queue = RankedQueue::new(3);
+    queue.push(request("short", 0, 5 * MS));
+    queue.push(request("long", 0, Duration::MAX));
+    queue.push(request("gone", 0, Duration::MAX));
+    assert!(matches!(
+        queue.push(request("more", 0, Duration::MAX)),
+        Pushed::Full(_)
+    ));
+    assert_eq!(queue.remove("gone").unwrap().id, "gone");
+    let popped = queue.pop(5 * MS);
+    assert_eq!(popped.expired[0].id, "short");
+    assert_eq!(popped.next.unwrap().id, "long");
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn a_cold_upstream_gets_at_most_its_rate_and_one_in_any_second() {
+    let mut pace = ColdPace::default();
+    pace.set_rate(19);
+    pace.restart(5_000 * MS);
+    let mut sent = Vec::new();
+    for ms in 0..5_000 {
+        let now = ms * MS;
+        if pace.allows(now) {
+            pace.sent(now);
+            sent.push(now);
+        }
+    }
+    for (index, from) in sent.iter().enumerate() {
+        let window = sent[index..].iter().filter(|at| **at < *from + 1_000 * MS);
+        assert!(window.count() <= 20);
+    }
+    assert!(sent.len() > 4 * 19, "the rate is used");
+    assert!(pace.allows(5_001 * MS) && pace.allows(5_001 * MS));
+}
+
+#[test]
+fn an_upstream_that_turns_cold_again_is_paced_at_once() {
+    let mut pace = ColdPace::default();
+    pace.set_rate(5);
+    assert!(!pace.is_cold(10 * MS));
+    pace.cool(1_000 * MS);
+    pace.sent(10 * MS);
+    pace.sent(10 * MS);
+    assert!(pace.is_cold(10 * MS) && !pace.allows(11 * MS));
+    pace.cool(500 * MS);
+    assert!(pace.is_cold(900 * MS), "an earlier end changes nothing");
+}
