--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -37,12 +37,36 @@
 pub(crate) struct Exchange<'a> {
     client: &'a UpstreamClient,
     deadline: Instant,
+    idempotent: bool,
     is_head: bool,
     max_age: Duration,
     request_id: RequestId,
     silence_timeout: Option<Duration>,
 }
 
+/// Why a request has no answer.
+enum Lost {
+    /// It was sent over a connection that had been idle, and that broke before any part of an answer.
+    OnIdleConnection(String),
+    /// Any other reason.
+    Otherwise(DispatchError),
+}
+
+impl Lost {
+    fn into_error(self) -> DispatchError {
+        match self {
+            Self::OnIdleConnection(reason) => DispatchError::ConnectionLost(reason),
+            Self::Otherwise(error) => error,
+        }
+    }
+}
+
+impl From<DispatchError> for Lost {
+    fn from(error: DispatchError) -> Self {
+        Self::Otherwise(error)
+    }
+}
+
 /// Why sending failed.
 enum SendError {
     /// The connection had closed before, and the request is still here.
@@ -62,6 +86,7 @@
         Self {
             client,
             deadline,
+            idempotent: req.idempotent,
             is_head: req.method == "HEAD",
             max_age,
             request_id: req.request_id.clone(),
@@ -70,22 +95,45 @@
     }
 
     /// Sends the request, over another connection if the first has closed, and receives the answer.
-    pub(crate) async fn run(&self, mut req: HttpRequest) -> Result<Answer, DispatchError> {
+    ///
+    /// An upstream may close an idle connection while a request is on its way. One that is idempotent is then sent once
+    /// more, as nobody can tell whether it ran.
+    pub(crate) async fn run(&self, req: HttpRequest) -> Result<Answer, DispatchError> {
+        let copy = self.idempotent.then(|| req.clone());
+        match (self.run_once(req, self.max_age).await, copy) {
+            (Err(Lost::OnIdleConnection(reason)), Some(copy)) => {
+                let again = self.run_once(copy, Duration::ZERO).await;
+                again.map_err(|lost| match lost.into_error() {
+                    error if error.is_not_run() => DispatchError::ConnectionLost(reason),
+                    error => error,
+                })
+            }
+            (ended, _) => ended.map_err(Lost::into_error),
+        }
+    }
+
+    async fn run_once(&self, mut req: HttpRequest, max_age: Duration) -> Result<Answer, Lost> {
         loop {
             self.remaining()?;
-            let connecting = self.client.connection(self.max_age);
+            let connecting = self.client.connection(max_age);
             let conn = timeout_at(self.deadline.into(), connecting)
                 .await
                 .map_err(|_| DispatchError::NotSent("no connection in time".to_owned()))??;
             let is_new = !conn.has_answered;
             let mut flight = Flight::new(self.client.clone(), self.request_id.clone(), conn);
             match self.send(&mut flight, req).await {
-                Ok(res) => return self.receive(flight, res).await,
+                Ok(res) => return Ok(self.receive(flight, res).await?),
                 Err(SendError::Closed(_, reason)) if is_new => {
-                    return Err(DispatchError::NotSent(reason));
+                    return Err(DispatchError::NotSent(reason).into());
+                }
+                Err(SendError::Failed(DispatchError::ConnectionLost(reason)))
+                    if !is_new && self.idempotent =>
+                {
+                    flight.disarm();
+                    return Err(Lost::OnIdleConnection(reason));
                 }
                 Err(SendError::Closed(unsent, _)) => req = *unsent,
-                Err(SendError::Failed(error)) => return Err(error),
+                Err(SendError::Failed(error)) => return Err(error.into()),
             }
         }
     }
--- a/crates/upstream/tests/upstream/fake_upstream.rs
+++ b/crates/upstream/tests/upstream/fake_upstream.rs
@@ -93,12 +93,16 @@
             state.open += 1;
             state.most_open = state.most_open.max(state.open);
         }
+        let mut served = 0;
         while let Some(text) = read_request(&mut stream).await {
+            served += 1;
+            let is_lost = text.contains(" /once-a-connection ") && served > 1;
             let answer = answer(&text);
             let is_last = text.contains(" /last ");
             let seen = Seen { connection, text };
             self.state.lock().unwrap().seen.push(seen);
             match answer {
+                Some(_) if is_lost => break,
                 Some(answer) => stream.write_all(answer.as_bytes()).await.unwrap(),
                 None => break,
             }
