--- a/crates/wire/tests/wire/link.rs
+++ b/crates/wire/tests/wire/link.rs
@@ -12,6 +12,7 @@
 use wire::Fate;
 use wire::HandOver;
 use wire::HandedOver;
+use wire::Header;
 use wire::Incoming;
 use wire::IncomingCalls;
 use wire::LinkSettings;
@@ -257,3 +258,43 @@
         assert_eq!((pulled.first, pulled.next), (1, 11));
     }
 }
+
+#[tokio::test]
+async fn repeated_headers_arrive_as_they_were_sent() {
+    let [(left, _left_calls), (_right, mut right_calls)] = open(&LinkSettings::default()).await;
+    let headers = |number: usize| {
+        let pairs = [
+            ("host", "app.example".to_owned()),
+            ("cookie", format!("id={number}")),
+            ("accept", format!("kind-{}", number % 200)),
+            ("x-long", "y".repeat(300)),
+            ("empty", String::new()),
+        ];
+        let headers = pairs
+            .into_iter()
+            .map(|(name, value)| Header::new(name.to_owned(), Bytes::from(value)));
+        headers.skip(number % 3).collect::<Vec<_>>()
+    };
+    for number in 0..600 {
+        let mut sent = dispatch(&number.to_string());
+        sent.headers = headers(number);
+        let calling = left.dispatch(sent, PATIENCE);
+        let serving = async {
+            let (call, responder) = next_call(&mut right_calls).await;
+            let Call::Dispatch(arrived) = call else {
+                panic!("not a dispatch: {call:?}");
+            };
+            assert_eq!(arrived.headers, headers(number));
+            let answer = Answer {
+                headers: headers(number + 1),
+                ..Answer::default()
+            };
+            responder.reply(Outcome::Answer(answer)).unwrap();
+        };
+        let (answered, ()) = tokio::join!(calling, serving);
+        let Ok(Outcome::Answer(answer)) = answered else {
+            panic!("no answer: {answered:?}");
+        };
+        assert_eq!(answer.headers, headers(number + 1));
+    }
+}
