--- a/crates/cluster/src/fleet.rs
+++ b/crates/cluster/src/fleet.rs
@@ -217,9 +217,10 @@
         self.configuration.is_withdrawn(hash)
     }
 
-    /// Tells whether a tenant key is in force whose hash begins with `prefix`.
-    pub fn has_key(&self, prefix: &str) -> bool {
-        self.configuration.has_key(prefix)
+    /// Tells whether a request may run under a tenant key whose hash begins with `prefix`, and which a process accepted
+    /// that had read the log up to `offset`. That process knows better than a fleet that has read less.
+    pub fn accepts_key(&self, prefix: &str, offset: Offset) -> bool {
+        self.next < offset || self.configuration.has_key(prefix)
     }
 
     /// Returns the workspace of a tenant key that is in force.
--- a/crates/cluster/tests/outcomes.rs
+++ b/crates/cluster/tests/outcomes.rs
@@ -94,6 +94,27 @@
     insta::assert_snapshot!(noted.text());
 }
 
+#[test]
+fn a_key_that_a_later_reader_accepted_is_not_taken_as_withdrawn() {
+    let mut noted = Noted::default();
+    let hash = KeyHash::of("secret");
+    let issue = Body::IssueKey {
+        workspace: "acme".to_owned(),
+        hash: hash.clone(),
+    };
+    noted.append("plans", plans_with(0, 2));
+    noted.append("workspaces", workspaces(&["acme"]));
+    let behind = noted.log.fleet.clone();
+    noted.append("key", issue);
+    let offset = noted.log.fleet.next();
+    assert!(behind.accepts_key(hash.prefix(), offset));
+    assert!(!behind.accepts_key(hash.prefix(), behind.next()));
+    assert!(noted.log.fleet.accepts_key(hash.prefix(), offset));
+
+    noted.append("withdrawal", Body::WithdrawKey { hash: hash.clone() });
+    assert!(!noted.log.fleet.accepts_key(hash.prefix(), offset));
+}
+
 #[test]
 fn members_and_units() {
     let mut noted = Noted {
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -72,6 +72,7 @@
             item: Waiting {
                 arrived: self.home.shared.clock.now(),
                 deadline: self.deadline,
+                entry_offset: self.dispatch.entry_offset,
                 fingerprint: self.dispatch.fingerprint.clone(),
                 grant: grant_of(&self.dispatch),
                 key: self.dispatch.key.clone(),
--- a/crates/router/src/home/pump.rs
+++ b/crates/router/src/home/pump.rs
@@ -107,7 +107,7 @@
         }
         let fleet = &self.view.fleet;
         let tenant_key = waiting.tenant_key.as_ref();
-        if tenant_key.is_some_and(|prefix| !fleet.has_key(prefix)) {
+        if tenant_key.is_some_and(|prefix| !fleet.accepts_key(prefix, waiting.entry_offset)) {
             return Some(Reason::KeyWithdrawn);
         }
         let (unit, fence) = waiting.grant.as_ref()?;
--- a/crates/router/src/home/waiting.rs
+++ b/crates/router/src/home/waiting.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ids::Fence;
+use ids::Offset;
 use ids::Unit;
 use policy::Fingerprint;
 use tokio::sync::oneshot;
@@ -17,6 +18,8 @@
     pub(crate) arrived: Duration,
     /// Time after which nobody waits for the answer.
     pub(crate) deadline: Duration,
+    /// Offset up to which the entry had read the log when it accepted the tenant key.
+    pub(crate) entry_offset: Offset,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) grant: Option<(Unit, Fence)>,
     pub(crate) key: Option<String>,
