Let the latest declaration decide about a zone

Change: a record about a zone carries the position up to which its writer had read, and one with an earlier position is void.

--- a/crates/bench/src/benches/zone.rs
+++ b/crates/bench/src/benches/zone.rs
@@ -145,7 +145,12 @@
     let zone = "b".to_owned();
     let change = |out, base| {
         let zone = zone.clone();
-        let body = Body::Zone { zone, out, base };
+        let body = Body::Zone {
+            zone,
+            out,
+            base,
+            position: 0,
+        };
         fleet.log().append(body).map_err(anyhow::Error::msg)
     };
     let base = change(true, 0)?;
--- a/crates/cluster/src/body.rs
+++ b/crates/cluster/src/body.rs
@@ -183,5 +183,16 @@
         out: bool,
         /// Offset of the record that last changed this zone's state, 0 for none.
         base: Offset,
+        /// Position up to which the writer had read what operators declare elsewhere, 0 for a change in the log itself.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        position: Offset,
     },
 }
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_zero(position: &Offset) -> bool {
+    *position == 0
+}
--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -191,9 +191,13 @@
         base: Offset,
         zone: ZoneId,
         out: bool,
+        position: Offset,
     ) -> Result<(), String> {
         let mut switch = self.zone(&zone);
-        switch.set(offset, base, out)?;
+        match position {
+            0 => switch.set(offset, base, out)?,
+            position => switch.declare(offset, base, out, position)?,
+        }
         self.zones.insert(zone, switch);
         self.version = offset;
         Ok(())
--- a/crates/cluster/src/fleet.rs
+++ b/crates/cluster/src/fleet.rs
@@ -248,6 +248,11 @@
         self.configuration.zones_out()
     }
 
+    /// Returns the greatest position of a declaration that set the state of a zone, 0 for none.
+    pub fn zone_position(&self, zone: &str) -> Offset {
+        self.configuration.zone(zone).position
+    }
+
     /// Returns the offset of the record that last changed a zone's state, 0 for none.
     pub fn zone_version(&self, zone: &str) -> Offset {
         self.configuration.zone(zone).version
--- a/crates/cluster/src/fold.rs
+++ b/crates/cluster/src/fold.rs
@@ -99,7 +99,12 @@
             } => self.unpin(offset, &vm, incarnation, service, key),
             Body::Upstream { vm, drained, base } => self.set_upstream(offset, base, vm, drained),
             Body::WithdrawKey { hash } => self.withdraw_key(offset, hash),
-            Body::Zone { zone, out, base } => self.set_zone(offset, base, zone, out),
+            Body::Zone {
+                zone,
+                out,
+                base,
+                position,
+            } => self.set_zone(offset, base, zone, out, position),
         }
     }
 }
--- a/crates/cluster/src/fold_configuration.rs
+++ b/crates/cluster/src/fold_configuration.rs
@@ -78,8 +78,10 @@
         base: Offset,
         zone: ZoneId,
         out: bool,
+        position: Offset,
     ) -> Result<Vec<Change>, String> {
-        self.configuration.set_zone(offset, base, zone, out)?;
+        self.configuration
+            .set_zone(offset, base, zone, out, position)?;
         Ok(self.configured(offset))
     }
 
--- a/crates/cluster/src/switch.rs
+++ b/crates/cluster/src/switch.rs
@@ -8,6 +8,9 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct Switch {
     pub(crate) out: bool,
+    /// Greatest position of a declaration that set the state.
+    #[serde(default)]
+    pub(crate) position: Offset,
     pub(crate) version: Offset,
 }
 
@@ -15,10 +18,27 @@
     /// Sets the state if `base` is the present version.
     pub(crate) fn set(&mut self, offset: Offset, base: Offset, out: bool) -> Result<(), String> {
         check_base(base, self.version)?;
-        *self = Self {
-            out,
-            version: offset,
-        };
+        self.out = out;
+        self.version = offset;
+        Ok(())
+    }
+
+    /// Sets the state as it was declared up to `position`, unless a later declaration set it.
+    pub(crate) fn declare(
+        &mut self,
+        offset: Offset,
+        base: Offset,
+        out: bool,
+        position: Offset,
+    ) -> Result<(), String> {
+        if position < self.position {
+            return Err(format!(
+                "read up to position {position}, but a declaration up to {} is in force: read on",
+                self.position
+            ));
+        }
+        self.set(offset, base, out)?;
+        self.position = position;
         Ok(())
     }
 }
--- a/crates/cluster/tests/fold.rs
+++ b/crates/cluster/tests/fold.rs
@@ -96,6 +96,7 @@
         17 => Body::Zone {
             base: seen.zone_version(zone),
             out: rest & 8 == 0,
+            position: rest >> 4 & 3,
             zone: zone.to_owned(),
         },
         18 => configure(seen, rest),
--- a/crates/cluster/tests/outcomes.rs
+++ b/crates/cluster/tests/outcomes.rs
@@ -65,6 +65,7 @@
         zone: "a".to_owned(),
         out,
         base,
+        position: 0,
     };
     let upstream = |base, drained| Body::Upstream {
         vm: vm(0),
--- a/crates/cluster/tests/planner.rs
+++ b/crates/cluster/tests/planner.rs
@@ -319,6 +319,7 @@
         zone: "c".to_owned(),
         out: true,
         base: 0,
+        position: 0,
     });
     settle(&mut log, &Loads::new(), 30);
     for gone in [1, 2, 5] {
--- a/crates/cluster/tests/ranges.rs
+++ b/crates/cluster/tests/ranges.rs
@@ -134,3 +134,21 @@
     }
     assert_eq!(waits, [Some(1_050), Some(2_600)]);
 }
+
+#[test]
+fn a_member_that_has_read_fewer_declarations_returns_no_zone() {
+    let mut log = log_with(3);
+    let zone = |log: &Log, out, position| Body::Zone {
+        base: log.fleet.zone_version("za"),
+        out,
+        position,
+        zone: "za".to_owned(),
+    };
+    log.applied(zone(&log, true, 40));
+    let late = zone(&log, false, 30);
+    assert!(matches!(log.append(late), Outcome::Void(_)));
+    assert!(log.fleet.zone_out("za"));
+
+    log.applied(zone(&log, false, 41));
+    assert!(!log.fleet.zone_out("za"));
+}
--- a/crates/membership/src/agent_operators.rs
+++ b/crates/membership/src/agent_operators.rs
@@ -66,10 +66,12 @@
         let fleet = self.log.fleet();
         let out: BTreeSet<&ZoneId> = fleet.zones_out().collect();
         let declared: BTreeSet<&ZoneId> = self.declared.zones_out.iter().collect();
-        let zone = declared.symmetric_difference(&out).next()?;
+        let mut differing = declared.symmetric_difference(&out);
+        let zone = differing.find(|zone| fleet.zone_position(zone) <= self.declared.position)?;
         Some(Body::Zone {
             base: fleet.zone_version(zone),
             out: declared.contains(*zone),
+            position: self.declared.position,
             zone: (*zone).clone(),
         })
     }
--- a/crates/membership/src/declared.rs
+++ b/crates/membership/src/declared.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use config::Manifest;
+use ids::Offset;
 use ids::ZoneId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -12,6 +13,9 @@
 pub struct Declared {
     /// The newest manifest, `None` before the first.
     pub manifest: Option<Box<Manifest>>,
+    /// Position up to which the declarations were read.
+    #[serde(default)]
+    pub position: Offset,
     /// Availability zones that are taken out of service.
     pub zones_out: BTreeSet<ZoneId>,
 }
--- a/crates/membership/tests/model/faults.rs
+++ b/crates/membership/tests/model/faults.rs
@@ -89,7 +89,12 @@
             let zone = "zone-0".to_owned();
             let out = !fleet.zone_out(&zone);
             let base = fleet.zone_version(&zone);
-            world.operate(Body::Zone { zone, out, base });
+            world.operate(Body::Zone {
+                zone,
+                out,
+                base,
+                position: 0,
+            });
         }
         13 => world.schedule(0, index, Input::Home(Event::Stop)),
         _ => {}
--- a/crates/membership/tests/model/scenarios.rs
+++ b/crates/membership/tests/model/scenarios.rs
@@ -116,6 +116,7 @@
 fn a_zone_that_is_taken_out_gives_its_units_away() {
     let mut world = settled();
     world.operate(Body::Zone {
+        position: 0,
         zone: "zone-0".to_owned(),
         out: true,
         base: 0,
@@ -161,6 +162,7 @@
     world.nodes[1].is_cut_from_log = true;
     world.run_until(START + 2 * SECOND);
     world.operate(Body::Zone {
+        position: 0,
         zone: "zone-1".to_owned(),
         out: true,
         base: 0,
--- a/crates/skylarkctl/src/switches.rs
+++ b/crates/skylarkctl/src/switches.rs
@@ -28,7 +28,17 @@
     let known = members.map(|member| member.join.zone.as_str()).collect();
     check_known("zone", &zone, &known, out, options)?;
     let base = folded.fleet.zone_version(&zone);
-    append(folded, Body::Zone { zone, out, base }, what, options)
+    append(
+        folded,
+        Body::Zone {
+            zone,
+            out,
+            base,
+            position: 0,
+        },
+        what,
+        options,
+    )
 }
 
 /// Takes an upstream out of service or returns it.
--- a/crates/skylarkrudder/tests/faults/configuration.rs
+++ b/crates/skylarkrudder/tests/faults/configuration.rs
@@ -39,6 +39,7 @@
         .when(|scenario| {
             let zone = "b".to_owned();
             let out = Body::Zone {
+                position: 0,
                 zone: zone.clone(),
                 out: true,
                 base: 0,
@@ -47,6 +48,7 @@
             let from_us = monotonic_us();
             sleep(Duration::from_secs(7));
             let back = Body::Zone {
+                position: 0,
                 zone: zone.clone(),
                 out: false,
                 base,
