--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -60,25 +60,19 @@
 
     /// Puts a manifest into force. Its revision takes the place of a base.
     fn publish_manifest(&mut self, offset: Offset, manifest: Manifest) -> Result<(), String> {
+        if manifest.revision <= self.revision {
+            return Err(format!(
+                "revision {} is not above {}, which is in force: publish a later one",
+                manifest.revision, self.revision
+            ));
+        }
+        manifest.check().map_err(|error| error.to_string())?;
         let Manifest {
             plans,
             revision,
             workspaces,
         } = manifest;
-        if revision <= self.revision {
-            return Err(format!(
-                "revision {revision} is not above {}, which is in force: publish a later one",
-                self.revision
-            ));
-        }
-        plans.check().map_err(|error| error.to_string())?;
-        workspaces
-            .check(&plans)
-            .map_err(|error| error.to_string())?;
-        self.check_shards(&plans)?;
-        for (service, declared) in &plans.services {
-            self.shards.insert(service.clone(), declared.shards);
-        }
+        self.declare_shards(&plans)?;
         let keys = workspaces.workspaces.iter();
         self.keys = keys
             .flat_map(|(name, workspace)| {
@@ -101,21 +95,18 @@
         self.workspaces
             .check(&plans)
             .map_err(|error| error.to_string())?;
-        self.check_shards(&plans)?;
-        for (service, declared) in &plans.services {
-            self.shards.insert(service.clone(), declared.shards);
-        }
+        self.declare_shards(&plans)?;
         self.plans = plans;
         self.plans_version = offset;
         Ok(())
     }
 
-    /// Checks that no service changes its number of shards.
+    /// Takes in the numbers of shards, and checks that no service changes its own.
     ///
     /// A changed number maps keys to other units at once, while owners that have not read the
     /// record still serve them. The number is kept when a service is no longer declared, since
     /// its owners keep their units too.
-    fn check_shards(&self, plans: &Plans) -> Result<(), String> {
+    fn declare_shards(&mut self, plans: &Plans) -> Result<(), String> {
         for (service, declared) in &plans.services {
             let Some(present) = self.shards.get(service) else {
                 continue;
@@ -128,6 +119,9 @@
                 ));
             }
         }
+        let declared = plans.services.iter();
+        self.shards
+            .extend(declared.map(|(service, declared)| (service.clone(), declared.shards)));
         Ok(())
     }
 
--- a/crates/membership/src/agent_check_in.rs
+++ b/crates/membership/src/agent_check_in.rs
@@ -21,11 +21,8 @@
         actions: &mut Vec<Action>,
     ) {
         if !self.upstream.checked_in(now, check_in) {
-            actions.push(Action::AnswerCheckIn(CheckInAnswer {
-                granted: Vec::new(),
-                hold: None,
-                id: check_in.id,
-            }));
+            let answer = CheckInAnswer::nothing(check_in.id);
+            actions.push(Action::AnswerCheckIn(answer));
             return;
         }
         for (unit, handover) in &check_in.handovers {
--- a/crates/membership/src/agent_log.rs
+++ b/crates/membership/src/agent_log.rs
@@ -65,9 +65,7 @@
                 next.incarnation = offset;
                 next.since = now;
                 self.life = Life::Active(next);
-                self.lease = crate::Lease::new(self.cfg.lease);
-                self.watches.clear();
-                self.witnesses = crate::Witnesses::default();
+                self.forget_witnesses();
                 let incarnation = offset;
                 actions.push(Action::Decide(Decision::Joined { incarnation }));
             }
@@ -126,10 +124,15 @@
             self.life = Life::Absent(leaving.clone().left(now + pause));
         }
         self.holdings.clear();
+        self.forget_witnesses();
+        self.appends.clear();
+    }
+
+    /// Forgets the lease and those who renewed it, which were of a life that is over.
+    fn forget_witnesses(&mut self) {
         self.lease = crate::Lease::new(self.cfg.lease);
         self.watches.clear();
         self.witnesses = crate::Witnesses::default();
-        self.appends.clear();
     }
 
     /// Writes a snapshot of the folded log when it is this member's turn.
--- a/crates/membership/src/agent_settings.rs
+++ b/crates/membership/src/agent_settings.rs
@@ -1,7 +1,6 @@
 //! Settings of an agent.
 
 use std::net::SocketAddr;
-
 use std::time::Duration;
 
 use cluster::LEASE;
--- a/crates/membership/src/check_in_answer.rs
+++ b/crates/membership/src/check_in_answer.rs
@@ -16,3 +16,14 @@
     /// Identity of the check-in.
     pub id: u64,
 }
+
+impl CheckInAnswer {
+    /// Returns the answer that renews nothing.
+    pub(crate) fn nothing(id: u64) -> Self {
+        Self {
+            granted: Vec::new(),
+            hold: None,
+            id,
+        }
+    }
+}
--- a/crates/membership/src/upstream.rs
+++ b/crates/membership/src/upstream.rs
@@ -352,11 +352,7 @@
     ) -> CheckInAnswer {
         let Some(end) = lease_end.filter(|end| *end > now) else {
             self.unconfirm();
-            return CheckInAnswer {
-                granted: Vec::new(),
-                hold: None,
-                id,
-            };
+            return CheckInAnswer::nothing(id);
         };
         let hold = (end - now).mul_f64(HOLD_PART).min(LONGEST_HOLD);
         self.held_until = self.held_until.max(end);
--- a/crates/records/src/http_log.rs
+++ b/crates/records/src/http_log.rs
@@ -1,27 +1,22 @@
 //! Client of the log service over HTTP.
 
-use std::io::ErrorKind;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ids::Offset;
 use serde::Deserialize;
-use serde::de::DeserializeOwned;
 use ureq::Agent;
-use ureq::Body;
 use ureq::Error;
-use ureq::Timeout;
-use ureq::http::Response;
 use ureq::http::StatusCode;
 
 use crate::AppendError;
 use crate::Batch;
 use crate::Log;
 use crate::ReadError;
-
-/// Largest answer that is read, in bytes.
-const ANSWER_LIMIT_BYTES: u64 = 16 << 20;
+use crate::calls::is_before_sending;
+use crate::calls::one_call_agent;
+use crate::calls::read_json;
 
 /// The log service, reached at any of several addresses.
 ///
@@ -56,20 +51,12 @@
     ///
     /// An attempt that takes longer than `timeout` is given up. Reads may take longer by the time they wait.
     pub fn new(addresses: Vec<String>, timeout: Duration) -> Self {
-        let agent = Agent::config_builder()
-            .http_status_as_error(false)
-            .max_idle_connections(0)
-            .max_idle_connections_per_host(0)
-            .max_redirects(0)
-            .proxy(None)
-            .build()
-            .into();
         Self {
             addresses: addresses
                 .into_iter()
                 .map(|address| base_url(&address))
                 .collect(),
-            agent,
+            agent: one_call_agent(None),
             preferred: AtomicUsize::new(0),
             timeout,
         }
@@ -99,7 +86,7 @@
             .send(record)
             .map_err(|error| append_error(address, &error))?;
         match res.status() {
-            StatusCode::OK => json::<Appended>(res)
+            StatusCode::OK => read_json::<Appended>(res)
                 .map(|appended| appended.offset)
                 .map_err(|error| AppendError::Unknown(format!("{address}: {error}"))),
             status @ (StatusCode::BAD_REQUEST
@@ -127,12 +114,12 @@
             Err(error) => return ReadAttempt::Failed(format!("{address}: {error}")),
         };
         match res.status() {
-            StatusCode::OK => match json::<Batch>(res) {
+            StatusCode::OK => match read_json::<Batch>(res) {
                 Ok(batch) => ReadAttempt::Done(check(batch, from, address)),
                 Err(Error::BodyExceedsLimit(_)) => ReadAttempt::TooLarge,
                 Err(error) => ReadAttempt::Failed(format!("{address}: {error}")),
             },
-            StatusCode::GONE => match json::<Expired>(res) {
+            StatusCode::GONE => match read_json::<Expired>(res) {
                 Ok(Expired { first }) => ReadAttempt::Done(Err(ReadError::Expired { first })),
                 Err(error) => ReadAttempt::Failed(format!("{address}: {error}")),
             },
@@ -204,24 +191,6 @@
     }
 }
 
-fn is_before_sending(error: &Error) -> bool {
-    match error {
-        Error::BadUri(_) | Error::ConnectionFailed | Error::HostNotFound => true,
-        Error::Timeout(Timeout::Connect | Timeout::Resolve) => true,
-        Error::Io(error) => error.kind() == ErrorKind::ConnectionRefused,
-        _ => false,
-    }
-}
-
-fn json<T: DeserializeOwned>(mut res: Response<Body>) -> Result<T, Error> {
-    let bytes = res
-        .body_mut()
-        .with_config()
-        .limit(ANSWER_LIMIT_BYTES)
-        .read_to_vec()?;
-    serde_json::from_slice(&bytes).map_err(Error::Json)
-}
-
 /// Refuses an answer whose records are not the ones asked for, since the log has no gaps.
 fn check(batch: Batch, from: Offset, address: &str) -> Result<Batch, ReadError> {
     let offsets = batch.records.iter().map(|stored| stored.offset);
--- a/crates/router/src/clock.rs
+++ b/crates/router/src/clock.rs
@@ -42,5 +42,10 @@
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    milliseconds(since)
+}
+
+/// Returns a time in whole milliseconds.
+pub(crate) fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/router/src/entry/caller_request.rs
+++ b/crates/router/src/entry/caller_request.rs
@@ -9,15 +9,9 @@
 use http::HeaderName;
 use http::Request;
 use http::header::AUTHORIZATION;
-use http::header::CONNECTION;
-use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
 use http::header::EXPECT;
 use http::header::HOST;
-use http::header::TE;
-use http::header::TRAILER;
-use http::header::TRANSFER_ENCODING;
-use http::header::UPGRADE;
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use ids::RequestId;
@@ -27,6 +21,7 @@
 use policy::Reason;
 use policy::RequestHead;
 use upstream::Dialect;
+use upstream::of_connection;
 use wire::Header;
 
 use crate::entry::splits::Splits;
@@ -36,18 +31,6 @@
 /// Header with the caller's idempotency key.
 const IDEMPOTENCY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
 
-/// Headers that belong to a connection.
-const OF_CONNECTION: [HeaderName; 8] = [
-    CONNECTION,
-    CONTENT_LENGTH,
-    EXPECT,
-    HeaderName::from_static("keep-alive"),
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
-
 /// Longest key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
@@ -117,6 +100,7 @@
         let mut set_here = vec![
             &AUTHORIZATION,
             &CONTENT_TYPE,
+            &EXPECT,
             &dialect.deadline_ms,
             &dialect.request_id,
             &dialect.workspace,
@@ -124,19 +108,9 @@
         set_here.extend(&dialect.caller_service);
         set_here.extend(&dialect.target);
         set_here.extend(self.key.as_ref().map(|_| &dialect.key));
-        let named = self.headers.get_all(CONNECTION).iter();
-        let named: Vec<&str> = named
-            .filter_map(|value| value.to_str().ok())
-            .flat_map(|value| value.split(','))
-            .map(str::trim)
-            .collect();
-        let is_forwarded = |name: &HeaderName| {
-            !set_here.contains(&name)
-                && !OF_CONNECTION.contains(name)
-                && !named
-                    .iter()
-                    .any(|other| name.as_str().eq_ignore_ascii_case(other))
-        };
+        let of_connection: Vec<HeaderName> = of_connection(&self.headers).collect();
+        let is_forwarded =
+            |name: &HeaderName| !set_here.contains(&name) && !of_connection.contains(name);
         let headers = self.headers.iter();
         headers
             .filter(|(name, _)| is_forwarded(name))
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -18,6 +18,7 @@
 use wire::Answer;
 use wire::Dispatch;
 
+use crate::clock::milliseconds;
 use crate::clock::unix_ms;
 use crate::decisions::RoutingDecision;
 use crate::decisions::Step;
@@ -210,7 +211,7 @@
             priority: plan
                 .and_then(|plan| plan.priority)
                 .unwrap_or(request.priority),
-            queue_ms: u64::try_from(queue.as_millis()).unwrap_or(u64::MAX),
+            queue_ms: milliseconds(queue),
             request_id: admitted.head().id.clone(),
             fingerprint: request.fingerprint(workspace.as_deref()),
             workspace,
--- a/crates/router/src/entry/keyed.rs
+++ b/crates/router/src/entry/keyed.rs
@@ -12,6 +12,7 @@
 use wire::Answer;
 use wire::Dispatch;
 
+use crate::clock::milliseconds;
 use crate::decisions::Step;
 use crate::entry::CallHome;
 use crate::entry::call_home::Reply;
@@ -48,7 +49,7 @@
                     Attempt::NotRun(back, statement) => {
                         admitted = back;
                         if !is_passing(&statement) {
-                            let pause = retry_after(deadline.saturating_sub(clock.now()));
+                            let pause = retry_after(clock.now(), deadline);
                             let pause = statement.retry_after().unwrap_or(pause);
                             return Err(admitted.refuse(statement.reason(), Some(pause)));
                         }
@@ -60,7 +61,7 @@
             };
             let now = clock.now();
             if now + pause >= give_up {
-                let pause = retry_after(deadline.saturating_sub(now));
+                let pause = retry_after(now, deadline);
                 return Err(admitted.refuse(reason, Some(pause)));
             }
             tokio::time::sleep(pause).await;
@@ -82,7 +83,7 @@
     ) -> Attempt {
         let deadline = admitted.head().deadline;
         let left = deadline.saturating_sub(self.homes.shared.clock.now());
-        dispatch.deadline_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        dispatch.deadline_ms = milliseconds(left);
         dispatch.entry_offset = self.homes.shared.view().fleet.next();
         if let Some((unit, fence)) = &target.grant {
             dispatch.unit = Some(unit.to_string());
--- a/crates/router/src/entry/keyless_run.rs
+++ b/crates/router/src/entry/keyless_run.rs
@@ -25,6 +25,7 @@
 use wire::Answer;
 use wire::Dispatch;
 
+use crate::clock::milliseconds;
 use crate::decisions::Step;
 use crate::entry::Keyless;
 use crate::entry::call_home::Reply;
@@ -119,7 +120,7 @@
     }
 
     fn retry_after(&self, deadline: Duration) -> Duration {
-        retry_after(deadline.saturating_sub(self.keyless.homes.shared.clock.now()))
+        retry_after(self.keyless.homes.shared.clock.now(), deadline)
     }
 
     /// Tells whether one more upstream may run the request.
@@ -189,7 +190,7 @@
         let homes = &self.keyless.homes;
         let now = homes.shared.clock.now();
         let left = deadline.saturating_sub(now);
-        self.dispatch.deadline_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        self.dispatch.deadline_ms = milliseconds(left);
         self.dispatch.hedge = matches!(step, Step::Hedged);
         homes.record(step, &self.dispatch.request_id, &target, reason);
         self.dispatch.attempt += 1;
--- a/crates/router/src/entry/responses.rs
+++ b/crates/router/src/entry/responses.rs
@@ -17,6 +17,8 @@
 use upstream::Dialect;
 use wire::Answer;
 
+use crate::clock::milliseconds;
+
 /// Header with the reason of a refusal.
 const REASON_HEADER: &str = "skylark-reason";
 
@@ -136,10 +138,6 @@
     }
 }
 
-fn milliseconds(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Returns the status of a refusal. A status that promises that the request did not run is given only where that is so.
 fn status(reason: Reason, outcome: Outcome) -> StatusCode {
     match (status_of(reason), outcome) {
--- a/crates/router/src/entry/retry_after.rs
+++ b/crates/router/src/entry/retry_after.rs
@@ -9,7 +9,7 @@
 /// wait for the whole of it still have time for an answer.
 const PART: u32 = 5;
 
-/// Returns the time after which a caller should send a request again whose deadline is after `left`.
-pub(crate) fn retry_after(left: Duration) -> Duration {
-    (left / PART).min(LONGEST)
+/// Returns the time after which a caller should send a request again.
+pub(crate) fn retry_after(now: Duration, deadline: Duration) -> Duration {
+    (deadline.saturating_sub(now) / PART).min(LONGEST)
 }
--- a/crates/router/src/home/messages.rs
+++ b/crates/router/src/home/messages.rs
@@ -23,6 +23,8 @@
 use wire::Outcome;
 use wire::Refused;
 
+use crate::clock::milliseconds;
+
 /// Restores what the entry leaves out of a dispatch, since it follows from the rest.
 pub(crate) fn complete(dispatch: &mut Dispatch, fleet: &Fleet) {
     if dispatch.fingerprint.is_empty() {
@@ -132,7 +134,3 @@
         (refused.retry_after_ms > 0).then(|| Duration::from_millis(refused.retry_after_ms));
     Statement::from_home(request_id.to_owned(), outcome, reason, retry_after)
 }
-
-fn milliseconds(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/router/src/settings/settings_file.rs
+++ b/crates/router/src/settings/settings_file.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use cluster::LEASE;
 use ids::RegionId;
 use ids::ServiceId;
 use ids::VmId;
@@ -14,6 +15,7 @@
 use serde::Deserialize;
 use wire::Secret;
 
+use crate::clock::milliseconds;
 use crate::settings::Addresses;
 use crate::settings::Limits;
 use crate::settings::LogService;
@@ -73,7 +75,7 @@
 }
 
 fn default_lease_ms() -> u64 {
-    2_000
+    milliseconds(LEASE)
 }
 
 fn default_level() -> LevelFilter {
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -86,22 +86,25 @@
     headers.insert(name, HeaderValue::from(milliseconds));
 }
 
-/// Removes the headers that the caller must not get.
-pub(crate) fn strip(headers: &mut HeaderMap, dialect: &Dialect) {
-    let named: Vec<HeaderName> = headers
+/// Returns the names of the headers that belong to a connection, and not to the message.
+pub fn of_connection(headers: &HeaderMap) -> impl Iterator<Item = HeaderName> + '_ {
+    let named = headers
         .get_all(CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
+        .filter_map(|name| name.trim().parse().ok());
+    named.chain(OF_CONNECTION)
+}
+
+/// Removes the headers that the caller must not get.
+pub(crate) fn strip(headers: &mut HeaderMap, dialect: &Dialect) {
     let own = headers
         .keys()
         .filter(|name| name.as_str().starts_with(PREFIX))
         .cloned();
     let removed: Vec<HeaderName> = own
-        .chain(named)
-        .chain(OF_CONNECTION)
+        .chain(of_connection(headers))
         .chain(dialect.private.iter().cloned())
         .chain([dialect.request_id.clone()])
         .collect();
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -33,6 +33,7 @@
 pub use grant::Grant;
 pub use grant_answer::GrantAnswer;
 pub use grant_message::GrantMessage;
+pub use head::of_connection;
 pub use health::Health;
 pub use not_run::NotRun;
 pub use request::Request;
