Refuse at once what would wait past its target latency; send elsewhere for free what a full home refuses

Cause: the home let a request wait for a fifth of the time it had left.

Change: the home keeps the mean time that requests take by target latency. A request waits only as long as its answer can still be within its target latency, and is refused on arrival when the queue ahead of it takes longer. A refusal by a full home spends no retry budget.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -12,6 +12,11 @@
     /// What is dispatched.
     type Item;
 
+    /// Returns the number of requests that are dispatched before one of rank `rank` that arrives now.
+    fn ahead_of(&self, _rank: u32) -> usize {
+        self.len()
+    }
+
     /// Returns the number of requests in the queue.
     fn len(&self) -> usize;
 
--- a/crates/policy/src/ranked_queue.rs
+++ b/crates/policy/src/ranked_queue.rs
@@ -74,6 +74,10 @@
 impl<T: Debug> Queue for RankedQueue<T> {
     type Item = T;
 
+    fn ahead_of(&self, rank: u32) -> usize {
+        self.lanes.range(..=rank).map(|(_, lane)| lane.len()).sum()
+    }
+
     fn len(&self) -> usize {
         self.lanes.values().map(VecDeque::len).sum()
     }
--- a/crates/policy/src/retry_policy.rs
+++ b/crates/policy/src/retry_policy.rs
@@ -28,7 +28,8 @@
 /// Decides whether a request is sent again that has been sent `attempts` times.
 ///
 /// A request that did not run may be sent again, and one with unknown outcome only if it is
-/// idempotent. Redirections by [`Reason::NotOwner`] and [`Reason::Stopping`] are free, up to the number of attempts. A request
+/// idempotent. Redirections by [`Reason::NotOwner`] and [`Reason::Stopping`], and by a home without room, are free, up to the
+/// number of attempts. A request
 /// that was running while an upstream crashed is never sent again by an entry, as it may be what
 /// crashed it.
 pub fn decide_retry(
@@ -47,15 +48,19 @@
     if now + pause >= head.deadline {
         return Retry::GiveUp;
     }
-    if !is_planned(reason) && !budget.try_spend() {
+    if !is_free(reason, outcome) && !budget.try_spend() {
         return Retry::GiveUp;
     }
     Retry::After(pause)
 }
 
-/// Returns whether the refusal belongs to a planned change, and not to a fault or overload.
-fn is_planned(reason: Reason) -> bool {
-    matches!(reason, Reason::NotOwner | Reason::Stopping)
+/// Returns whether the refusal costs no upstream anything: it belongs to a planned change, or the home had no room.
+fn is_free(reason: Reason, outcome: Outcome) -> bool {
+    match reason {
+        Reason::NotOwner | Reason::Stopping => true,
+        Reason::Overloaded => outcome == Outcome::NotRun,
+        _ => false,
+    }
 }
 
 /// Returns whether sending the request again cannot change the refusal, or must not be tried.
--- a/crates/policy/tests/chooser.rs
+++ b/crates/policy/tests/chooser.rs
@@ -233,6 +233,30 @@
     assert!(extras(300.0) > 20_000, "without a bound there is a storm");
 }
 
+#[test]
+fn a_refusal_by_a_full_home_uses_no_budget_as_no_upstream_has_seen_the_request() {
+    let mut budget = RetryBudget::new(0.0);
+    let mut decide = |attempts, outcome, reason| {
+        decide_retry(
+            Duration::ZERO,
+            &head(true),
+            attempts,
+            outcome,
+            reason,
+            &mut budget,
+        )
+    };
+    let is_repeated = |retry| matches!(retry, Retry::After(_));
+    assert!(is_repeated(decide(1, Outcome::NotRun, Reason::Overloaded)));
+    assert!(!is_repeated(decide(3, Outcome::NotRun, Reason::Overloaded)));
+    assert!(!is_repeated(decide(
+        1,
+        Outcome::Unknown,
+        Reason::Overloaded
+    )));
+    assert!(!is_repeated(decide(1, Outcome::NotRun, Reason::Shed)));
+}
+
 #[test]
 fn retries_by_reason_and_outcome() {
     let mut log = Vec::new();
--- a/crates/router/src/entry/caller_request.rs
+++ b/crates/router/src/entry/caller_request.rs
@@ -51,6 +51,8 @@
     /// Rank of the route, 0 for the most urgent.
     pub(crate) priority: u32,
     pub(crate) service: ServiceId,
+    /// Target latency of the route, zero when it has none.
+    pub(crate) target_latency: Duration,
     pub(crate) timeout: Duration,
 }
 
@@ -89,6 +91,7 @@
             path_and_query: chosen.path_and_query,
             priority: chosen.priority,
             service: chosen.service,
+            target_latency: chosen.target_latency,
             timeout: asked.min(chosen.timeout),
             headers: head.headers,
             body,
@@ -175,6 +178,7 @@
     path_and_query: String,
     priority: u32,
     service: ServiceId,
+    target_latency: Duration,
     timeout: Duration,
 }
 
@@ -190,6 +194,7 @@
         path_and_query: rest.to_owned(),
         priority: 0,
         service: service.to_owned(),
+        target_latency: Duration::ZERO,
         timeout: Duration::MAX,
     })
 }
@@ -210,6 +215,7 @@
         path_and_query: path_and_query.as_str().to_owned(),
         priority: route.priority,
         service,
+        target_latency: route.target_latency(),
         timeout: route.timeout(),
     })
 }
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -232,6 +232,7 @@
             entry_offset: view.fleet.next(),
             attempt: 0,
             vouched: false,
+            target_latency_ms: milliseconds(request.target_latency),
             tenant_key_hash: credentials.map(|credentials| credentials.hash.prefix().to_owned()),
         }
     }
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -76,6 +76,7 @@
                 fingerprint: self.dispatch.fingerprint.clone(),
                 grant: grant_of(&self.dispatch),
                 key: self.dispatch.key.clone(),
+                target_latency: Duration::from_millis(self.dispatch.target_latency_ms),
                 tenant_key: self.dispatch.tenant_key_hash.clone(),
                 tx,
             },
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -161,8 +161,15 @@
     }
 
     /// Puts a request into the queue. The receiver gets its permit, or its refusal.
-    pub(crate) fn enqueue(self: &Arc<Self>, queued: Queued<Waiting>) {
+    pub(crate) fn enqueue(self: &Arc<Self>, mut queued: Queued<Waiting>) {
+        let now = self.shared.clock.now();
         let mut state = self.lock();
+        let Some(until) = state.wait_until(now, &queued) else {
+            drop(state);
+            refuse(queued, Reason::Overloaded);
+            return;
+        };
+        queued.deadline = until;
         let refused = match state.queue.push(queued) {
             Pushed::Accepted => None,
             Pushed::Displaced(other) | Pushed::Full(other) => Some(other),
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -24,6 +24,7 @@
 use policy::Queued;
 use policy::RankedQueue;
 use policy::RequestMemory;
+use policy::ServiceTimes;
 use policy::Suspects;
 use policy::Ticket;
 use tokio::sync::oneshot;
@@ -64,6 +65,8 @@
     pub(crate) not_held: BTreeSet<Unit>,
     pub(crate) queue: Box<dyn Queue<Item = Waiting> + Send>,
     pub(crate) running: BTreeMap<Ticket, Running>,
+    /// Times that requests take on the present upstream.
+    pub(crate) service_times: ServiceTimes,
     pub(crate) suspects: Suspects,
     pub(crate) upstream: Option<LocalUpstream>,
     pub(crate) watchers: BTreeMap<RequestId, Vec<oneshot::Sender<Outcome>>>,
@@ -76,6 +79,8 @@
     pub(crate) key: Option<String>,
     /// Time at which it came to the home.
     pub(crate) arrived: Duration,
+    /// Target latency of the route, zero when it has none.
+    pub(crate) target_latency: Duration,
     pub(crate) unit: Option<Unit>,
     pub(crate) workspace: WorkspaceId,
 }
@@ -129,6 +134,7 @@
             memory: RequestMemory::new(MemoryBounds::default(), unix_ms()),
             queue: queue(limits, policy.queue),
             running: BTreeMap::new(),
+            service_times: ServiceTimes::default(),
             suspects: Suspects::default(),
             upstream: None,
             watchers: BTreeMap::new(),
@@ -148,6 +154,7 @@
             return;
         }
         self.limiter.restart(now, announcement.slots);
+        self.service_times.clear();
         let declared = view.fleet.plans().services.get(&announcement.service);
         let upstream = LocalUpstream::new(Arc::clone(announcement), declared, shared);
         self.upstream = Some(upstream);
@@ -224,6 +231,20 @@
         }
     }
 
+    /// Returns the time until which a request waits for its turn, or nothing if its turn would come too late.
+    pub(crate) fn wait_until(&self, now: Duration, queued: &Queued<Waiting>) -> Option<Duration> {
+        let target = queued.item.target_latency;
+        if target.is_zero() {
+            return Some(queued.deadline);
+        }
+        let slots = self.limiter.limit(now);
+        let waiting = self.queue.ahead_of(queued.rank) + usize::from(self.held.is_some());
+        let is_full = self.limiter.in_flight() >= slots;
+        let ahead = waiting + usize::from(is_full);
+        let until = self.service_times.wait_until(now, target, ahead, slots)?;
+        Some(until.min(queued.deadline))
+    }
+
     /// Tells whether the upstream has said that it stops, so long ago that it gets no more requests.
     pub(crate) fn has_left(&self, now: Duration) -> bool {
         let upstream = self.upstream.as_ref();
@@ -248,6 +269,9 @@
         self.release(now, ticket, completion);
         let ran = matches!(completion, Completion::Answered { .. });
         let running = self.running.remove(&ticket)?;
+        if let Completion::Answered { latency } = completion {
+            self.service_times.observe(running.target_latency, latency);
+        }
         if let Some(unit) = &running.unit {
             let busy = now.saturating_sub(running.arrived);
             self.book.ended(unit, running.key.as_deref(), busy);
--- a/crates/router/src/home/pump.rs
+++ b/crates/router/src/home/pump.rs
@@ -135,6 +135,7 @@
             fingerprint: queued.item.fingerprint,
             key: queued.item.key,
             arrived: queued.item.arrived,
+            target_latency: queued.item.target_latency,
             unit,
             workspace: queued.workspace,
         };
--- a/crates/router/src/home/waiting.rs
+++ b/crates/router/src/home/waiting.rs
@@ -23,6 +23,8 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) grant: Option<(Unit, Fence)>,
     pub(crate) key: Option<String>,
+    /// Target latency of the route, zero when it has none.
+    pub(crate) target_latency: Duration,
     pub(crate) tenant_key: Option<String>,
     /// Receives the permit, or the refusal of a request that will not run.
     pub(crate) tx: oneshot::Sender<Result<Permit, Outcome>>,
--- a/crates/wire/src/message/dispatch.rs
+++ b/crates/wire/src/message/dispatch.rs
@@ -88,4 +88,7 @@
     /// Longest time that the request waits at the home, in milliseconds, or 0 to wait until its deadline.
     #[prost(uint64, tag = "25")]
     pub queue_ms: u64,
+    /// Target latency of the route, in milliseconds, or 0 when it has none.
+    #[prost(uint64, tag = "26")]
+    pub target_latency_ms: u64,
 }
