--- a/crates/config/src/host_route.rs
+++ b/crates/config/src/host_route.rs
@@ -14,6 +14,8 @@
     pub attempts: u32,
     /// Whether a request may run more than once with the same effect as once.
     pub idempotent: bool,
+    /// Name of the route, for logs and metrics.
+    pub name: String,
     /// Whether the route is open to callers without a tenant key.
     pub open: bool,
     /// Start of the path.
--- a/crates/config/tests/manifest.rs
+++ b/crates/config/tests/manifest.rs
@@ -18,6 +18,7 @@
 
 fn route(prefix: &str, service: &str, weight: u32) -> HostRoute {
     HostRoute {
+        name: prefix.to_owned(),
         attempts: 2,
         idempotent: true,
         open: false,
--- a/crates/membership/src/decision.rs
+++ b/crates/membership/src/decision.rs
@@ -90,6 +90,24 @@
 }
 
 impl Decision {
+    /// Returns the name of the kind of decision.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::ConfigurationInForce { .. } => "configuration_in_force",
+            Self::Informed => "informed",
+            Self::Joined { .. } => "joined",
+            Self::LeaseEnded { .. } => "lease_ended",
+            Self::LeaseHeld { .. } => "lease_held",
+            Self::Left { .. } => "left",
+            Self::Moved { .. } => "moved",
+            Self::RecordSkipped { .. } => "record_skipped",
+            Self::Suspected { .. } => "suspected",
+            Self::Took { .. } => "took",
+            Self::Uninformed => "uninformed",
+            Self::UpstreamAccepted { .. } => "upstream_accepted",
+        }
+    }
+
     /// Returns the decision about a lease that holds from now on, or no longer does.
     pub(crate) fn lease(holds: bool, incarnation: Incarnation) -> Self {
         if holds {
--- /dev/null
+++ b/crates/policy/src/rank.rs
@@ -0,0 +1,18 @@
+//! Order of urgency of requests.
+
+/// Number of ranks of routes among requests of one priority.
+const ROUTE_RANKS: u32 = 256;
+
+/// Returns the rank of a request, 0 for the most urgent.
+///
+/// The priority of the workspace goes before that of the route. Among equals, requests without a workspace come first, since
+/// upstreams send them while they run a request themselves, whose run is lost without the answer; then the priority of the
+/// route decides.
+pub fn rank(workspace_priority: Option<u32>, route_priority: u32, has_workspace: bool) -> u32 {
+    let priority = workspace_priority.unwrap_or(route_priority);
+    let among_equals = route_priority.min(ROUTE_RANKS - 1);
+    let first = if has_workspace { ROUTE_RANKS } else { 0 };
+    priority
+        .saturating_mul(2 * ROUTE_RANKS)
+        .saturating_add(first + among_equals)
+}
--- a/crates/policy/tests/ranked.rs
+++ b/crates/policy/tests/ranked.rs
@@ -7,6 +7,7 @@
 use policy::Queue;
 use policy::Queued;
 use policy::RankedQueue;
+use policy::rank;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -39,6 +40,24 @@
     assert_eq!(next(&mut queue, MS), None);
 }
 
+#[test]
+fn ranks_follow_the_workspace_then_calls_of_upstreams_then_the_route() {
+    let urgent_workspace = rank(Some(0), 9, true);
+    let call = rank(None, 1, false);
+    let urgent_route = rank(Some(1), 1, true);
+    let other_route = rank(Some(1), 2, true);
+    let no_priority = rank(None, 2, true);
+    let ranks = [
+        urgent_workspace,
+        call,
+        urgent_route,
+        other_route,
+        no_priority,
+    ];
+    assert!(ranks.is_sorted_by(|a, b| a < b), "{ranks:?}");
+    assert_eq!(rank(Some(u32::MAX), 1, true), u32::MAX);
+}
+
 #[test]
 fn no_rank_starves() {
     let mut queue = RankedQueue::new(100);
--- a/crates/router/src/control/control_thread.rs
+++ b/crates/router/src/control/control_thread.rs
@@ -19,6 +19,8 @@
 use membership::Event;
 use membership::Status;
 use serde::Serialize;
+use telemetry::Dependency;
+use telemetry::LINE_TARGET;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
@@ -39,7 +41,6 @@
 use crate::control::recorder::Recorder;
 use crate::control::upstream_control::UpstreamControl;
 use crate::home::Home;
-use crate::logging::DECISION_TARGET;
 use crate::shared::Shared;
 use crate::transfer::Transfer;
 use crate::travel::Arrivals;
@@ -225,10 +226,20 @@
     fn report_gauges(&self) {
         let (queued, running) = self.parts.home.counts();
         let metrics = &self.parts.shared.metrics;
-        metrics.gauge("home.queued", queued as u64);
-        metrics.gauge("home.running", u64::from(running));
-        metrics.gauge("log.next", self.parts.agent.fleet().next());
-        metrics.gauge("units.serving", self.parts.agent.serving().len() as u64);
+        metrics.set("home_queued", queued as u64);
+        metrics.set("home_running", u64::from(running));
+        metrics.set("log_next", self.parts.agent.fleet().next());
+        metrics.set("units_serving", self.parts.agent.serving().len() as u64);
+        for dependency in [
+            Dependency::Log,
+            Dependency::LogWrites,
+            Dependency::Operators,
+            Dependency::Peer,
+            Dependency::Upstream,
+        ] {
+            let lost = self.parts.shared.count_lost(dependency) as u64;
+            metrics.set(&format!("lost_{}", dependency.as_str()), lost);
+        }
     }
 
     fn repeat_appends(&mut self) {
@@ -266,9 +277,11 @@
             Event::CheckedIn(check_in) => {
                 self.announced = Some(check_in.announcement.clone());
             }
-            Event::PeerRecords { records, .. } | Event::Records { records, .. } => {
-                self.keep(records)
+            Event::PeerRecords { records, .. } => {
+                self.parts.shared.note_log_read();
+                self.keep(records);
             }
+            Event::Records { records, .. } => self.keep(records),
             _ => {}
         }
     }
@@ -341,13 +354,18 @@
     }
 
     fn log_decision(&self, decision: &Decision) {
+        let metrics = &self.parts.shared.metrics;
+        metrics.count("membership", decision.kind());
+        if let Decision::Took { wait_ms, .. } = decision {
+            metrics.time("takeover_wait", Duration::from_millis(*wait_ms));
+        }
         let line = DecisionLine {
             time_unix_ms: unix_ms(),
             vm: &self.parts.shared.vm,
             decision,
         };
         if let Ok(text) = serde_json::to_string(&line) {
-            log::info!(target: DECISION_TARGET, "{text}");
+            log::info!(target: LINE_TARGET, "{text}");
         }
     }
 
--- a/crates/router/src/control/datagrams.rs
+++ b/crates/router/src/control/datagrams.rs
@@ -112,9 +112,7 @@
     }
 
     fn drop_datagram(&self, reason: &str) -> Option<Heard> {
-        self.shared
-            .metrics
-            .count(&format!("datagram.dropped.{reason}"));
+        self.shared.metrics.count("datagram-dropped", reason);
         None
     }
 
--- a/crates/router/src/control/log_reader.rs
+++ b/crates/router/src/control/log_reader.rs
@@ -10,6 +10,7 @@
 use records::Batch;
 use records::Log;
 use records::ReadError;
+use telemetry::Dependency;
 
 use crate::control::ControlSender;
 use crate::shared::Shared;
@@ -64,6 +65,8 @@
             let from = self.cursor.load(Ordering::SeqCst).max(1);
             match self.log.read(from, READ_RECORDS, wait) {
                 Ok(batch) => {
+                    self.shared.note_log_read();
+                    self.shared.regained(Dependency::Log, "");
                     let has_records = !batch.records.is_empty();
                     self.pass_on(batch);
                     if has_records {
@@ -99,13 +102,16 @@
     }
 
     fn report(&self, error: &ReadError) {
-        log::warn!("{error}");
         match error {
             ReadError::Expired { first } => {
+                log::warn!("{error}");
                 self.cursor.fetch_max(*first, Ordering::SeqCst);
                 self.control.event(Event::RecordsExpired { first: *first });
             }
-            ReadError::Unavailable(_) => self.control.event(Event::LogFailed),
+            ReadError::Unavailable(problem) => {
+                self.shared.lost(Dependency::Log, "", problem);
+                self.control.event(Event::LogFailed);
+            }
         }
         thread::sleep(RETRY_PAUSE);
     }
--- a/crates/router/src/control/log_writer.rs
+++ b/crates/router/src/control/log_writer.rs
@@ -8,6 +8,7 @@
 
 use cluster::Record;
 use records::Log;
+use telemetry::Dependency;
 
 use crate::shared::Shared;
 
@@ -48,8 +49,9 @@
             continue;
         };
         shared.control_traffic.log_call(bytes.len());
-        if let Err(error) = log.append(&bytes) {
-            log::warn!("record {}: {error}", record.id);
+        match log.append(&bytes) {
+            Ok(_) => shared.regained(Dependency::LogWrites, ""),
+            Err(error) => shared.lost(Dependency::LogWrites, "", &error.to_string()),
         }
     }
 }
--- a/crates/router/src/entry/call_home.rs
+++ b/crates/router/src/entry/call_home.rs
@@ -6,15 +6,15 @@
 use policy::Outcome as RunOutcome;
 use policy::Reason;
 use policy::Statement;
+use telemetry::Facts;
+use telemetry::RequestDecision;
+use telemetry::Step;
 use wire::Answer;
 use wire::CallError;
 use wire::Dispatch;
 use wire::Link;
 use wire::Outcome;
 
-use crate::clock::unix_ms;
-use crate::decisions::RoutingDecision;
-use crate::decisions::Step;
 use crate::entry::Acknowledgments;
 use crate::entry::inquiry::Inquiry;
 use crate::entry::target::Target;
@@ -77,8 +77,11 @@
         let request_id = dispatch.request_id.clone();
         let is_remembered = !dispatch.idempotent;
         let left = deadline.saturating_sub(self.shared.clock.now());
+        let sent = self.shared.clock.now();
         match link.dispatch(dispatch, left + HOME_GRACE).await {
             Ok(outcome) => {
+                let taken = self.shared.clock.now().saturating_sub(sent);
+                self.shared.metrics.time("peer", taken);
                 if is_remembered && matches!(outcome, Outcome::Answer(_)) {
                     self.acknowledgments.add(link, request_id.clone());
                 }
@@ -113,23 +116,45 @@
             Reply::Answer(_) => "answered",
             Reply::Stated(statement) => statement.outcome().as_str(),
         };
-        self.record(Step::Resolved, request_id, target, reason);
+        self.record_facts(Step::Resolved, request_id, target, reason, Facts::default());
         reply
     }
 
     /// Writes a decision about a request to a home.
-    pub(crate) fn record(&self, step: Step, request_id: &str, target: &Target, reason: &str) {
-        let grant = target.grant.clone();
-        self.shared.decisions.record(RoutingDecision {
-            time_unix_ms: unix_ms(),
+    pub(crate) fn record(&self, step: Step, dispatch: &Dispatch, target: &Target, reason: &str) {
+        self.record_facts(
             step,
-            request_id: request_id.to_owned(),
-            workspace: None,
-            unit: grant.as_ref().map(|(unit, _)| unit.clone()),
-            fence: grant.map(|(_, fence)| fence),
-            from: self.shared.vm.clone(),
+            &dispatch.request_id,
+            target,
+            reason,
+            Facts {
+                attempt: Some(dispatch.attempt),
+                deadline_left_ms: Some(dispatch.deadline_ms),
+                rank: Some(dispatch.priority),
+                ..Facts::default()
+            },
+        );
+    }
+
+    fn record_facts(
+        &self,
+        step: Step,
+        request_id: &str,
+        target: &Target,
+        reason: &str,
+        facts: Facts,
+    ) {
+        if step == Step::Hedged || step == Step::Retried {
+            self.shared.metrics.count("extra-request", reason);
+        }
+        let grant = target.grant.clone();
+        self.shared.decisions.record(RequestDecision {
+            belief: Some(self.shared.belief()),
+            facts,
+            fence: grant.as_ref().map(|(_, fence)| *fence),
             to: Some(target.vm.clone()),
-            reason: reason.to_owned(),
+            unit: grant.map(|(unit, _)| unit),
+            ..self.shared.decision(step, request_id, reason)
         });
     }
 }
--- a/crates/router/src/entry/caller_request.rs
+++ b/crates/router/src/entry/caller_request.rs
@@ -50,6 +50,8 @@
     pub(crate) path_and_query: String,
     /// Rank of the route, 0 for the most urgent.
     pub(crate) priority: u32,
+    /// Name of the route.
+    pub(crate) route: String,
     pub(crate) service: ServiceId,
     /// Target latency of the route, zero when it has none.
     pub(crate) target_latency: Duration,
@@ -90,6 +92,7 @@
             method: head.method.as_str().to_owned(),
             path_and_query: chosen.path_and_query,
             priority: chosen.priority,
+            route: chosen.route,
             service: chosen.service,
             target_latency: chosen.target_latency,
             timeout: asked.min(chosen.timeout),
@@ -177,6 +180,7 @@
     open: bool,
     path_and_query: String,
     priority: u32,
+    route: String,
     service: ServiceId,
     target_latency: Duration,
     timeout: Duration,
@@ -193,6 +197,7 @@
         open: route.open,
         path_and_query: rest.to_owned(),
         priority: 0,
+        route: service.to_owned(),
         service: service.to_owned(),
         target_latency: Duration::ZERO,
         timeout: Duration::MAX,
@@ -214,6 +219,7 @@
         open: route.open,
         path_and_query: path_and_query.as_str().to_owned(),
         priority: route.priority,
+        route: route.name.clone(),
         service,
         target_latency: route.target_latency(),
         timeout: route.timeout(),
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -3,25 +3,31 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cluster::Fleet;
 use http::Request;
 use http::Response;
 use httpd::Handler;
 use httpd::Refused;
 use ids::RequestId;
+use ids::ServiceId;
+use ids::WorkspaceId;
 use policy::Admitted;
 use policy::Authenticated;
+use policy::Outcome;
 use policy::Reason;
 use policy::Received;
 use policy::Refusal;
 use policy::Standing;
+use policy::rank;
+use telemetry::Facts;
+use telemetry::RequestDecision;
+use telemetry::Step;
 use uuid::Uuid;
 use wire::Answer;
 use wire::Dispatch;
 
 use crate::clock::milliseconds;
 use crate::clock::unix_ms;
-use crate::decisions::RoutingDecision;
-use crate::decisions::Step;
 use crate::entry::Keyed;
 use crate::entry::Keyless;
 use crate::entry::Splits;
@@ -46,33 +52,38 @@
     pub(crate) splits: Splits,
 }
 
+/// What is known of a request when it ends.
+#[derive(Debug, Default)]
+struct Course {
+    facts: Facts,
+    route: String,
+    service: Option<ServiceId>,
+    workspace: Option<WorkspaceId>,
+}
+
 impl Handler for CallerService {
     async fn handle(&self, req: Request<Bytes>) -> Response<Bytes> {
         let request_id = self.request_id(&req);
         let started = self.shared.clock.now();
-        let result = self.serve(&request_id, req).await;
-        self.shared.metrics.time(
-            "request.latency",
-            self.shared.clock.now().saturating_sub(started),
-        );
+        let mut course = Course::default();
+        let result = self.serve(&request_id, req, &mut course).await;
+        let taken = self.shared.clock.now().saturating_sub(started);
+        self.shared.metrics.time("request", taken);
+        course.facts.elapsed_ms = Some(milliseconds(taken));
         match result {
             Ok(answer) => {
-                self.shared.metrics.count("request.answered");
-                self.record(Step::Answered, &request_id, "answered");
+                self.conclude_answered(&request_id, course, &answer);
                 answered(&self.shared.dialect, &request_id, answer)
             }
             Err(refusal) => {
-                self.shared
-                    .metrics
-                    .count(&format!("request.refused.{}", refusal.reason()));
-                self.record(Step::Refused, &request_id, refusal.reason().as_str());
+                self.conclude_refused(&request_id, course, &refusal);
                 refused(&self.shared.dialect, &request_id, &refusal)
             }
         }
     }
 
     fn refuse(&self, refused: Refused) -> Response<Bytes> {
-        self.shared.metrics.count("request.turned_away");
+        self.shared.metrics.count("caller", "turned-away");
         turned_away(&self.shared.dialect, refused)
     }
 }
@@ -89,7 +100,12 @@
         }
     }
 
-    async fn serve(&self, request_id: &str, req: Request<Bytes>) -> Result<Answer, Refusal> {
+    async fn serve(
+        &self,
+        request_id: &str,
+        req: Request<Bytes>,
+        course: &mut Course,
+    ) -> Result<Answer, Refusal> {
         let view = self.shared.view();
         let now = self.shared.clock.now();
         if let Some(reason) = self.unavailable(view.informed) {
@@ -97,6 +113,7 @@
         }
         let request = CallerRequest::read(req, view.fleet.plans(), &self.shared, &self.splits)
             .map_err(Received::refuse_unread)?;
+        course.learn_request(&request);
         let received = Received::new(request.head(request_id.to_owned(), now));
         let credentials = match Credentials::of(&request.headers, &view.fleet) {
             Ok(None) if !request.is_open => Err(Reason::Unauthenticated),
@@ -110,6 +127,7 @@
         let workspace = credentials
             .as_ref()
             .map(|credentials| credentials.workspace.clone());
+        course.learn_workspace(workspace.as_ref(), &view.fleet);
         let authenticated = received.authenticate(workspace);
         let authenticated = self.check(authenticated, &request)?;
         let admitted = self.admit(authenticated, credentials.as_ref()).await?;
@@ -208,9 +226,11 @@
         Dispatch {
             caller_service: self.shared.caller_service.clone(),
             headers,
-            priority: plan
-                .and_then(|plan| plan.priority)
-                .unwrap_or(request.priority),
+            priority: rank(
+                plan.and_then(|plan| plan.priority),
+                request.priority,
+                workspace.is_some(),
+            ),
             queue_ms: milliseconds(queue),
             request_id: admitted.head().id.clone(),
             fingerprint: request.fingerprint(workspace.as_deref()),
@@ -237,17 +257,53 @@
         }
     }
 
-    fn record(&self, step: Step, request_id: &str, reason: &str) {
-        self.shared.decisions.record(RoutingDecision {
-            time_unix_ms: unix_ms(),
-            step,
-            request_id: request_id.to_owned(),
-            workspace: None,
-            unit: None,
-            fence: None,
-            from: self.shared.vm.clone(),
-            to: None,
-            reason: reason.to_owned(),
+    fn conclude_answered(&self, request_id: &str, mut course: Course, answer: &Answer) {
+        self.shared
+            .metrics
+            .count_request(&course.route, "answered", "");
+        course.facts.status = Some(answer.status);
+        let decision = self.shared.decision(Step::Answered, request_id, "answered");
+        self.shared.decisions.record(RequestDecision {
+            facts: course.facts,
+            service: course.service,
+            workspace: course.workspace,
+            ..decision
+        });
+    }
+
+    fn conclude_refused(&self, request_id: &str, mut course: Course, refusal: &Refusal) {
+        let reason = refusal.reason().as_str();
+        let outcome = refusal.outcome();
+        let metrics = &self.shared.metrics;
+        metrics.count_request(&course.route, outcome.as_str(), reason);
+        course.facts.not_run = Some(outcome == Outcome::NotRun);
+        course.facts.retry_after_ms = refusal.retry_after().map(milliseconds);
+        let decision = self.shared.decision(Step::Refused, request_id, reason);
+        self.shared.decisions.record(RequestDecision {
+            belief: Some(self.shared.belief()),
+            facts: course.facts,
+            service: course.service,
+            workspace: course.workspace,
+            ..decision
         });
     }
 }
+
+impl Course {
+    fn learn_request(&mut self, request: &CallerRequest) {
+        self.facts.deadline_left_ms = Some(milliseconds(request.timeout));
+        self.facts.rank = Some(request.priority);
+        self.facts.target_latency_ms = Some(milliseconds(request.target_latency));
+        self.route.clone_from(&request.route);
+        self.service = Some(request.service.clone());
+    }
+
+    fn learn_workspace(&mut self, workspace: Option<&WorkspaceId>, fleet: &Fleet) {
+        self.workspace = workspace.cloned();
+        let plan = workspace.and_then(|workspace| fleet.plan_of(workspace));
+        if let Some(plan) = plan {
+            self.facts.burst = Some(plan.burst_requests);
+            self.facts.rate = Some(plan.rate_requests_per_second);
+        }
+    }
+}
--- a/crates/router/src/entry/inquiry.rs
+++ b/crates/router/src/entry/inquiry.rs
@@ -45,10 +45,11 @@
 
     /// Asks once, and returns `None` when the home cannot tell yet.
     async fn ask(&self) -> Option<Reply> {
-        let link = self
-            .links
-            .link(&self.target.vm, self.target.address)
-            .await?;
+        let vm = &self.target.vm;
+        let Some(link) = self.links.link(vm, self.target.address).await else {
+            // The memory of the process has ended with it.
+            return self.links.is_gone(vm).await.then(|| self.unknown());
+        };
         if link.peer().incarnation != self.process {
             return Some(self.unknown());
         }
--- a/crates/router/src/entry/keyed.rs
+++ b/crates/router/src/entry/keyed.rs
@@ -9,11 +9,11 @@
 use policy::Refusal;
 use policy::Resolution;
 use policy::Statement;
+use telemetry::Step;
 use wire::Answer;
 use wire::Dispatch;
 
 use crate::clock::milliseconds;
-use crate::decisions::Step;
 use crate::entry::CallHome;
 use crate::entry::call_home::Reply;
 use crate::entry::retry_after::retry_after;
@@ -94,8 +94,7 @@
         } else {
             Step::Retried
         };
-        self.homes
-            .record(step, &dispatch.request_id, target, "owner");
+        self.homes.record(step, dispatch, target, "owner");
         dispatch.attempt += 1;
         let dispatched = admitted.dispatch(target.vm.clone());
         let reply = self.homes.send(target, dispatch.clone(), deadline).await;
--- a/crates/router/src/entry/keyless_run.rs
+++ b/crates/router/src/entry/keyless_run.rs
@@ -20,13 +20,13 @@
 use policy::Statement;
 use policy::Ticket;
 use policy::decide_retry;
+use telemetry::Step;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use wire::Answer;
 use wire::Dispatch;
 
 use crate::clock::milliseconds;
-use crate::decisions::Step;
 use crate::entry::Keyless;
 use crate::entry::call_home::Reply;
 use crate::entry::retry_after::retry_after;
@@ -192,7 +192,7 @@
         let left = deadline.saturating_sub(now);
         self.dispatch.deadline_ms = milliseconds(left);
         self.dispatch.hedge = matches!(step, Step::Hedged);
-        homes.record(step, &self.dispatch.request_id, &target, reason);
+        homes.record(step, &self.dispatch, &target, reason);
         self.dispatch.attempt += 1;
         self.excluded.insert(target.vm.clone());
         let ticket = self.keyless.with(&self.dispatch.service, |service| {
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -9,15 +9,17 @@
 use policy::Queued;
 use policy::Reason;
 use policy::Started;
+use telemetry::Dependency;
+use telemetry::Facts;
+use telemetry::RequestDecision;
+use telemetry::Step;
 use tokio::sync::oneshot;
 use upstream::DispatchError;
 use upstream::NotRun;
 use wire::Dispatch;
 use wire::Outcome;
 
-use crate::clock::unix_ms;
-use crate::decisions::RoutingDecision;
-use crate::decisions::Step;
+use crate::clock::milliseconds;
 use crate::home::Home;
 use crate::home::crash_report::CrashReport;
 use crate::home::local_upstream::LocalUpstream;
@@ -30,6 +32,8 @@
 
 /// One request on its way through the home. Its outcome is remembered, also when it is dropped.
 pub(crate) struct Execution {
+    /// Time at which the request came to the home.
+    arrived: Duration,
     deadline: Duration,
     dispatch: Dispatch,
     home: Arc<Home>,
@@ -39,8 +43,10 @@
 
 impl Execution {
     pub(crate) fn new(home: Arc<Home>, dispatch: Dispatch) -> Self {
-        let deadline = home.shared.clock.now() + Duration::from_millis(dispatch.deadline_ms);
+        let arrived = home.shared.clock.now();
+        let deadline = arrived + Duration::from_millis(dispatch.deadline_ms);
         Self {
+            arrived,
             deadline,
             dispatch,
             home,
@@ -53,7 +59,10 @@
     pub(crate) async fn run(mut self) -> Outcome {
         let outcome = match self.permit().await {
             Ok(permit) => self.dispatch(permit).await,
-            Err(outcome) => outcome,
+            Err(outcome) => {
+                self.log_refusal(Step::TurnedAway, &outcome);
+                outcome
+            }
         };
         self.finish(&outcome);
         outcome
@@ -70,7 +79,7 @@
             deadline: self.queue_deadline(),
             id: self.dispatch.request_id.clone(),
             item: Waiting {
-                arrived: self.home.shared.clock.now(),
+                arrived: self.arrived,
                 deadline: self.deadline,
                 entry_offset: self.dispatch.entry_offset,
                 fingerprint: self.dispatch.fingerprint.clone(),
@@ -123,13 +132,19 @@
             .clock
             .now()
             .saturating_sub(permit.started());
-        self.home.shared.metrics.time("upstream.latency", latency);
+        self.home.shared.metrics.time("upstream", latency);
         match result {
             Ok(received) => {
+                let started = permit.started();
                 permit.end(Completion::Answered { latency });
+                self.log_end(started, latency, u32::from(received.status.as_u16()));
                 Outcome::Answer(answer(received))
             }
-            Err(error) => self.fail(permit, started, &upstream, error).await,
+            Err(error) => {
+                let outcome = self.fail(permit, started, &upstream, error).await;
+                self.log_refusal(Step::Failed, &outcome);
+                outcome
+            }
         }
     }
 
@@ -148,13 +163,14 @@
         upstream: &LocalUpstream,
         error: DispatchError,
     ) -> Outcome {
-        log::debug!("request {}: {error}", self.dispatch.request_id);
+        let problem = error.to_string();
         let statement = match error {
             DispatchError::ConnectionLost(_) => {
                 let crash = CrashReport {
                     home: &self.home,
                     upstream,
                 };
+                self.home.shared.lost(Dependency::Upstream, "", &problem);
                 if crash.settle().await {
                     permit.end(Completion::Failed);
                     started.refuse(Reason::UpstreamCrashed)
@@ -189,6 +205,7 @@
                 started.refuse_not_run(Reason::Shed, None)
             }
             DispatchError::NotSent(_) => {
+                self.home.shared.lost(Dependency::Upstream, "", &problem);
                 permit.end(Completion::Failed);
                 self.home.control.event(membership::Event::UpstreamLost);
                 started.refuse_not_run(Reason::UpstreamSilent, None)
@@ -215,18 +232,65 @@
     }
 
     fn log_dispatch(&self) {
-        let vm = self.home.shared.vm.clone();
+        let waited = self.home.shared.clock.now().saturating_sub(self.arrived);
+        self.home.shared.metrics.time("queue", waited);
+        let state = self.home.lock();
+        let facts = Facts {
+            cold: Some(state.cold.is_cold(self.home.shared.clock.now())),
+            limit: Some(state.limiter.limit(self.home.shared.clock.now())),
+            rank: Some(self.dispatch.priority),
+            running: Some(state.limiter.in_flight()),
+            waited_ms: Some(milliseconds(waited)),
+            ..Facts::default()
+        };
+        drop(state);
+        self.log(Step::Dispatched, "permitted", facts);
+    }
+
+    fn log_end(&self, started: Duration, latency: Duration, status: u32) {
+        let facts = Facts {
+            status: Some(status),
+            target_latency_ms: Some(self.dispatch.target_latency_ms),
+            waited_ms: Some(milliseconds(started.saturating_sub(self.arrived))),
+            upstream_ms: Some(milliseconds(latency)),
+            ..Facts::default()
+        };
+        self.log(Step::Ended, "answered", facts);
+    }
+
+    fn log_refusal(&self, step: Step, outcome: &Outcome) {
+        let Outcome::Refused(refused) = outcome else {
+            return;
+        };
+        let now = self.home.shared.clock.now();
+        self.home.shared.metrics.count("home", &refused.reason);
+        let state = self.home.lock();
+        let facts = Facts {
+            ahead: Some(state.queue.ahead_of(self.dispatch.priority)),
+            cold: Some(state.cold.is_cold(now)),
+            limit: Some(state.limiter.limit(now)),
+            not_run: Some(refused.not_run),
+            rank: Some(self.dispatch.priority),
+            running: Some(state.limiter.in_flight()),
+            target_latency_ms: Some(self.dispatch.target_latency_ms),
+            waited_ms: Some(milliseconds(now.saturating_sub(self.arrived))),
+            ..Facts::default()
+        };
+        drop(state);
+        self.log(step, &refused.reason, facts);
+    }
+
+    fn log(&self, step: Step, reason: &str, facts: Facts) {
+        let shared = &self.home.shared;
         let grant = grant_of(&self.dispatch);
-        self.home.shared.decisions.record(RoutingDecision {
-            time_unix_ms: unix_ms(),
-            step: Step::Dispatched,
-            request_id: self.dispatch.request_id.clone(),
+        shared.decisions.record(RequestDecision {
+            belief: step.is_failure().then(|| shared.belief()),
+            facts,
+            fence: grant.as_ref().map(|(_, fence)| *fence),
+            service: Some(self.dispatch.service.clone()),
+            unit: grant.map(|(unit, _)| unit),
             workspace: self.dispatch.workspace.clone(),
-            unit: grant.as_ref().map(|(unit, _)| unit.clone()),
-            fence: grant.map(|(_, fence)| fence),
-            from: vm.clone(),
-            to: Some(vm),
-            reason: "permitted".to_owned(),
+            ..shared.decision(step, &self.dispatch.request_id, reason)
         });
     }
 }
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -21,6 +21,8 @@
 use policy::Reason;
 use policy::Statement;
 use policy::Ticket;
+use telemetry::RequestDecision;
+use telemetry::Step;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use wire::Ask;
@@ -37,6 +39,7 @@
 use crate::home::home_state::HomeState;
 use crate::home::local_upstream::LocalUpstream;
 use crate::home::messages::complete;
+use crate::home::messages::grant_of;
 use crate::home::messages::new_request;
 use crate::home::messages::refused;
 use crate::home::pump::Pump;
@@ -92,7 +95,10 @@
         self.await_clock(&dispatch).await;
         let begun = self.begin(&dispatch);
         match begun {
-            Begun::Ended(outcome) => outcome,
+            Begun::Ended(outcome) => {
+                self.log_turned_away(&dispatch, &outcome);
+                outcome
+            }
             Begun::Run => self.execute(dispatch).await,
             Begun::Watch(watched) => match watched.await {
                 Ok(outcome) => outcome,
@@ -101,6 +107,24 @@
         }
     }
 
+    fn log_turned_away(&self, dispatch: &Dispatch, outcome: &Outcome) {
+        let reason = match outcome {
+            Outcome::Answer(_) => return,
+            Outcome::NotOwner(_) => Reason::NotOwner.as_str(),
+            Outcome::Refused(refused) => &refused.reason,
+        };
+        self.shared.metrics.count("home", reason);
+        let grant = grant_of(dispatch);
+        let id = &dispatch.request_id;
+        self.shared.decisions.record(RequestDecision {
+            belief: Some(self.shared.belief()),
+            fence: grant.as_ref().map(|(_, fence)| *fence),
+            service: Some(dispatch.service.clone()),
+            unit: grant.map(|(unit, _)| unit),
+            ..self.shared.decision(Step::TurnedAway, id, reason)
+        });
+    }
+
     /// Waits until an idempotency key that was made by a clock ahead of this one lies in the past.
     async fn await_clock(&self, dispatch: &Dispatch) {
         let Some(idempotency) = new_request(dispatch).idempotency else {
--- a/crates/router/src/links/link_pool.rs
+++ b/crates/router/src/links/link_pool.rs
@@ -1,6 +1,7 @@
 //! One link for each peer.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -9,17 +10,20 @@
 use std::time::Instant;
 
 use ids::VmId;
+use telemetry::Dependency;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use wire::Counters;
 use wire::Identity;
 use wire::IncomingCalls;
 use wire::Link;
+use wire::LinkError;
 use wire::LinkSettings;
 use wire::PeerListener;
 use wire::Secret;
 
 use crate::links::PeerService;
+use crate::shared::Shared;
 
 /// Time after a failed try in which no link to the peer is opened.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -34,6 +38,8 @@
 struct PeerSlot {
     /// Time of the last try, if it failed.
     failed: Option<Instant>,
+    /// Whether nothing listened at the peer's address at the last try.
+    is_gone: bool,
     link: Option<Link>,
 }
 
@@ -55,11 +61,17 @@
     secret: Secret,
     service: Arc<PeerService>,
     settings: LinkSettings,
+    shared: Arc<Shared>,
     slots: Mutex<BTreeMap<VmId, Slot>>,
 }
 
 impl LinkPool {
-    pub(crate) fn new(me: Identity, secret: Secret, service: Arc<PeerService>) -> Self {
+    pub(crate) fn new(
+        me: Identity,
+        secret: Secret,
+        service: Arc<PeerService>,
+        shared: Arc<Shared>,
+    ) -> Self {
         Self {
             counters: Arc::default(),
             me,
@@ -69,6 +81,7 @@
                 handshake_timeout: OPEN_TIMEOUT,
                 ..LinkSettings::default()
             },
+            shared,
             slots: Mutex::default(),
         }
     }
@@ -83,26 +96,35 @@
         if present.failed_recently() {
             return None;
         }
-        present.link = self.open(peer, address).await;
+        let opened = self.open(peer, address).await;
+        present.is_gone = opened.as_ref().is_err_and(is_refusal);
+        present.link = opened.ok();
         present.failed = present.link.is_none().then(Instant::now);
         present.link.clone()
     }
 
-    async fn open(&self, peer: &VmId, address: SocketAddr) -> Option<Link> {
+    /// Tells whether nothing listened at the peer's address when a link was last tried: its process has ended.
+    pub(crate) async fn is_gone(&self, peer: &VmId) -> bool {
+        self.slot(peer).lock().await.is_gone
+    }
+
+    async fn open(&self, peer: &VmId, address: SocketAddr) -> Result<Link, LinkError> {
         let (secret, me) = (&self.secret, &self.me);
         let opened = wire::connect(address, secret, me, &self.settings, &self.counters);
         match opened.await {
             Ok((link, _)) if link.peer().vm != *peer => {
                 log::warn!("{address} is {}, not {peer}", link.peer().vm);
-                None
+                Err(LinkError::Unauthenticated)
             }
             Ok((link, calls)) => {
                 self.serve(calls);
-                Some(link)
+                self.shared.regained(Dependency::Peer, peer);
+                Ok(link)
             }
             Err(error) => {
-                log::debug!("no link to {peer}: {error}");
-                None
+                let problem = error.to_string();
+                self.shared.lost(Dependency::Peer, peer, &problem);
+                Err(error)
             }
         }
     }
@@ -111,6 +133,8 @@
     pub(crate) async fn discard(&self, peer: &VmId) {
         if let Some(link) = self.slot(peer).lock().await.link.take() {
             link.close();
+            let problem = "a call had no answer";
+            self.shared.lost(Dependency::Peer, peer, problem);
         }
     }
 
@@ -130,6 +154,7 @@
     /// Serves a link that the peer opened. It is used for calls to the peer only where none is being opened.
     fn welcome(&self, link: Link, calls: IncomingCalls) {
         self.serve(calls);
+        self.shared.regained(Dependency::Peer, &link.peer().vm);
         let slot = self.slot(&link.peer().vm);
         if let Ok(mut present) = slot.try_lock()
             && present.link().is_none()
@@ -148,3 +173,7 @@
         Arc::clone(slots.entry(peer.clone()).or_default())
     }
 }
+
+fn is_refusal(error: &LinkError) -> bool {
+    matches!(error, LinkError::Io(error) if error.kind() == ErrorKind::ConnectionRefused)
+}
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -7,15 +7,15 @@
 use anyhow::Result;
 use fern::Dispatch;
 use fern::FormatCallback;
+use log::Log;
 use log::Record;
 use serde::Serialize;
+use telemetry::LINE_TARGET;
+use telemetry::LineWriter;
 
 use crate::Settings;
 use crate::clock::unix_ms;
 
-/// Target of log lines that hold a decision.
-pub(crate) const DECISION_TARGET: &str = "decision";
-
 #[derive(Serialize)]
 struct Line<'a> {
     time_unix_ms: u64,
@@ -25,14 +25,17 @@
     message: String,
 }
 
-/// Starts logging for the process.
+/// Starts logging for the process, and returns the writer of its lines on standard output.
 ///
 /// # Errors
 ///
 /// Returns an error when the decision log cannot be opened, or logging has been started before.
-pub(crate) fn start(settings: &Settings) -> Result<()> {
-    let decisions = Dispatch::new().filter(|metadata| metadata.target() == DECISION_TARGET);
-    let decisions = match &settings.decision_log {
+pub(crate) fn start(settings: &Settings) -> Result<LineWriter> {
+    let queue_lines = usize::try_from(settings.logging.queue_lines)?;
+    let vm = settings.vm.clone();
+    let writer = LineWriter::start(stdout(), queue_lines, vm.clone())?;
+    let lines = Dispatch::new().filter(|metadata| metadata.target() == LINE_TARGET);
+    let lines = match &settings.decision_log {
         Some(path) => {
             let file = fern::log_file(path).with_context(|| {
                 format!(
@@ -40,24 +43,28 @@
                     path.display()
                 )
             })?;
-            decisions.chain(file)
+            lines.chain(output(LineWriter::start(file, queue_lines, vm.clone())?))
         }
-        None => decisions.chain(stdout()),
+        None => lines.chain(output(writer.clone())),
     };
-    let vm = settings.vm.clone();
     let messages = Dispatch::new()
-        .filter(|metadata| metadata.target() != DECISION_TARGET)
+        .filter(|metadata| metadata.target() != LINE_TARGET)
         .format(move |cx, message, record| format_line(cx, message, record, &vm))
-        .chain(std::io::stderr());
+        .chain(output(writer.clone()));
     Dispatch::new()
         .level(settings.log_level)
         .level_for("hyper", log::LevelFilter::Warn)
         .level_for("ureq", log::LevelFilter::Warn)
         .level_for("ureq_proto", log::LevelFilter::Warn)
-        .chain(decisions)
+        .chain(lines)
         .chain(messages)
         .apply()
-        .context("logging has been started before")
+        .context("logging has been started before")?;
+    Ok(writer)
+}
+
+fn output(writer: LineWriter) -> Box<dyn Log> {
+    Box::new(writer)
 }
 
 fn format_line(cx: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>, vm: &str) {
--- /dev/null
+++ b/crates/router/src/operator/metrics_service.rs
@@ -0,0 +1,57 @@
+//! The interface at which metrics are read.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use httpd::Handler;
+use httpd::Refused;
+use serde_json::json;
+use telemetry::LineWriter;
+
+use crate::json_response::json_response;
+use crate::shared::Shared;
+
+/// Path at which metrics are read.
+const METRICS_PATH: &str = "/metrics";
+
+/// Type of the text exposition format.
+const EXPOSITION_TYPE: &str = "text/plain; version=0.0.4";
+
+/// Serves metrics as text.
+pub(crate) struct MetricsService {
+    pub(crate) lines: LineWriter,
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Handler for MetricsService {
+    async fn handle(&self, req: Request<Bytes>) -> Response<Bytes> {
+        if req.uri().path() != METRICS_PATH {
+            let body = json!({ "error": "there is only GET /metrics here" });
+            return json_response(StatusCode::NOT_FOUND, &body);
+        }
+        let metrics = &self.shared.metrics;
+        metrics.set("log_lines_dropped", self.lines.dropped());
+        match metrics.exposition() {
+            Ok(text) => {
+                let mut response = Response::new(Bytes::from(text));
+                let kind = HeaderValue::from_static(EXPOSITION_TYPE);
+                response.headers_mut().insert(CONTENT_TYPE, kind);
+                response
+            }
+            Err(error) => {
+                let body = json!({ "error": error.to_string() });
+                json_response(StatusCode::INTERNAL_SERVER_ERROR, &body)
+            }
+        }
+    }
+
+    fn refuse(&self, refused: Refused) -> Response<Bytes> {
+        let body = json!({ "error": refused.to_string() });
+        json_response(StatusCode::BAD_REQUEST, &body)
+    }
+}
--- a/crates/router/src/process/listeners.rs
+++ b/crates/router/src/process/listeners.rs
@@ -13,6 +13,7 @@
     pub(crate) announce: TcpListener,
     pub(crate) caller: TcpListener,
     pub(crate) datagrams: std::net::UdpSocket,
+    pub(crate) metrics: Option<TcpListener>,
     pub(crate) operator: TcpListener,
     pub(crate) peer: TcpListener,
 }
@@ -27,6 +28,10 @@
             announce: listen("addresses.announce", addresses.announce)?,
             caller: listen("addresses.caller", addresses.caller)?,
             datagrams,
+            metrics: addresses
+                .metrics
+                .map(|address| listen("addresses.metrics", address))
+                .transpose()?,
             operator: listen("addresses.operator", addresses.operator)?,
             peer: listen("addresses.peer", addresses.peer)?,
         })
--- a/crates/router/src/process/parts.rs
+++ b/crates/router/src/process/parts.rs
@@ -11,6 +11,8 @@
 use membership::AgentSettings;
 use records::HttpLog;
 use records::Log;
+use telemetry::LineWriter;
+use telemetry::Metrics;
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -40,7 +42,7 @@
 use crate::limits::Meters;
 use crate::links::LinkPool;
 use crate::links::PeerService;
-use crate::metrics::Metrics;
+use crate::operator::MetricsService;
 use crate::operator::OperatorService;
 use crate::process::control_thread::ControlThread;
 use crate::process::listeners::Listeners;
@@ -60,6 +62,8 @@
     pub(crate) control: ControlSender,
     pub(crate) environment: Option<Arc<dyn Environment>>,
     pub(crate) home: Arc<Home>,
+    /// Writer of log lines.
+    pub(crate) lines: LineWriter,
     pub(crate) links: Arc<LinkPool>,
     pub(crate) rx: UnboundedReceiver<Input>,
     pub(crate) secret: Secret,
@@ -72,6 +76,7 @@
     pub(crate) fn new(
         settings: &Settings,
         environment: Option<Arc<dyn Environment>>,
+        lines: LineWriter,
     ) -> Result<Self> {
         let secret = settings.secret()?;
         let seed = rand::random();
@@ -86,7 +91,7 @@
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
         });
-        let metrics = Metrics::new(settings.metrics.as_ref(), &settings.vm)?;
+        let metrics = metrics(settings)?;
         let dialect = environment
             .as_ref()
             .map_or_else(Dialect::default, |environment| environment.dialect());
@@ -108,7 +113,8 @@
             incarnation: seed,
             vm: settings.vm.clone(),
         };
-        let links = Arc::new(LinkPool::new(me, secret.clone(), service));
+        let links = LinkPool::new(me, secret.clone(), service, Arc::clone(&shared));
+        let links = Arc::new(links);
         Ok(Self {
             agent,
             arrivals,
@@ -116,6 +122,7 @@
             control,
             environment,
             home,
+            lines,
             links,
             rx,
             secret,
@@ -134,7 +141,8 @@
     ) -> Result<(impl Future<Output = Result<()>>, JoinHandle<()>)> {
         let log = self.log(settings);
         if let Some(environment) = &self.environment {
-            environment.watch(DeclaredSink::new(self.control.clone()))?;
+            let sink = DeclaredSink::new(self.control.clone(), Arc::clone(&self.shared));
+            environment.watch(sink)?;
         }
         let cursor = Arc::new(AtomicU64::new(1));
         LogReader::start(
@@ -146,6 +154,9 @@
             settings.log.read_wait(),
         )?;
         let writer = LogWriter::start(log, Arc::clone(&self.shared))?;
+        if let Some(listener) = listeners.metrics {
+            spawn_local_server(listener, self.metrics_service(), stop);
+        }
         let serving = self.serve(
             settings,
             listeners.announce,
@@ -243,6 +254,13 @@
         }
     }
 
+    fn metrics_service(&self) -> MetricsService {
+        MetricsService {
+            lines: self.lines.clone(),
+            shared: Arc::clone(&self.shared),
+        }
+    }
+
     fn operator_service(&self) -> OperatorService {
         OperatorService {
             home: Arc::clone(&self.home),
@@ -280,6 +298,14 @@
     }
 }
 
+fn metrics(settings: &Settings) -> Result<Metrics> {
+    let metrics = Metrics::new()?;
+    match &settings.metrics {
+        Some(cfg) => metrics.with_statsd(cfg.statsd, &cfg.prefix, &settings.vm),
+        None => Ok(metrics),
+    }
+}
+
 fn spawn_local_server<H: Handler>(listener: TcpListener, handler: H, stop: &CancellationToken) {
     let limits = httpd::Limits {
         connections: LOCAL_CONNECTIONS,
--- a/crates/router/src/process/reload.rs
+++ b/crates/router/src/process/reload.rs
@@ -1,14 +1,17 @@
 //! Changes of the settings file while the process runs.
 
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Result;
+use telemetry::ProcessEvent;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
 use crate::Settings;
+use crate::shared::Shared;
 
 /// Time between two looks at the settings file, which may change without a signal.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
@@ -17,6 +20,7 @@
 pub(crate) struct Reload {
     hangup: Signal,
     path: PathBuf,
+    shared: Arc<Shared>,
     text: Option<String>,
 }
 
@@ -26,11 +30,12 @@
     /// # Errors
     ///
     /// Returns an error when the signal cannot be watched for.
-    pub(crate) fn new(path: PathBuf) -> Result<Self> {
+    pub(crate) fn new(path: PathBuf, shared: Arc<Shared>) -> Result<Self> {
         let text = std::fs::read_to_string(&path).ok();
         Ok(Self {
             hangup: signal(SignalKind::hangup())?,
             path,
+            shared,
             text,
         })
     }
@@ -51,7 +56,8 @@
         let text = match std::fs::read_to_string(path) {
             Ok(text) => text,
             Err(error) if is_asked => {
-                log::error!("settings file `{}` cannot be read: {error}", path.display());
+                let problem = format!("`{}` cannot be read: {error}", path.display());
+                self.shared.tell(ProcessEvent::SettingsRefused { problem });
                 return;
             }
             Err(_) => return,
@@ -63,12 +69,13 @@
         match Settings::load(path) {
             Ok(settings) => {
                 log::set_max_level(settings.log_level);
-                log::warn!(
-                    "the settings have changed: the log level is {}, and everything else holds from the next start on",
-                    settings.log_level
-                );
+                self.shared.tell(ProcessEvent::SettingsRead {
+                    log_level: settings.log_level.to_string(),
+                });
             }
-            Err(error) => log::error!("the settings have changed and are not taken: {error}"),
+            Err(error) => self.shared.tell(ProcessEvent::SettingsRefused {
+                problem: error.to_string(),
+            }),
         }
     }
 }
--- a/crates/router/src/process/run.rs
+++ b/crates/router/src/process/run.rs
@@ -7,6 +7,8 @@
 use anyhow::Context;
 use anyhow::Result;
 use membership::Event;
+use telemetry::LineWriter;
+use telemetry::ProcessEvent;
 use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -19,6 +21,9 @@
 use crate::process::parts::Process;
 use crate::process::reload::Reload;
 
+/// Time in which the last log lines leave.
+const LAST_LINES: Duration = Duration::from_millis(250);
+
 /// Time in which the last replies to peers leave.
 const FLUSH: Duration = Duration::from_millis(50);
 
@@ -45,7 +50,7 @@
     path: &Path,
     environment: Option<Arc<dyn Environment>>,
 ) -> Result<()> {
-    logging::start(settings)?;
+    let lines = logging::start(settings)?;
     let threads = usize::try_from(settings.limits.traffic_threads)?;
     let runtime = Builder::new_multi_thread()
         .worker_threads(threads)
@@ -53,16 +58,20 @@
         .enable_all()
         .build()
         .context("the traffic threads cannot be started")?;
-    runtime.block_on(serve(settings, path, environment))
+    let served = runtime.block_on(serve(settings, path, environment, lines.clone()));
+    lines.flush_within(LAST_LINES);
+    served
 }
 
 async fn serve(
     settings: &Settings,
     path: &Path,
     environment: Option<Arc<dyn Environment>>,
+    lines: LineWriter,
 ) -> Result<()> {
-    tokio::spawn(Reload::new(path.to_owned())?.run());
-    let process = Process::new(settings, environment)?;
+    let process = Process::new(settings, environment, lines)?;
+    let reload = Reload::new(path.to_owned(), Arc::clone(&process.shared))?;
+    tokio::spawn(reload.run());
     let listeners = Listeners::bind(settings)?;
     let stop = CancellationToken::new();
     let stopped = process.stopped.clone();
@@ -70,8 +79,11 @@
     let control = process.control.clone();
     let home = Arc::clone(&process.home);
     let (serving, thread) = process.start(settings, listeners, &stop)?;
+    shared.tell(ProcessEvent::Started {
+        version: env!("CARGO_PKG_VERSION").to_owned(),
+    });
     wait_for_signal().await?;
-    log::info!("a graceful stop begins");
+    shared.tell(ProcessEvent::Stopping);
     shared.stop();
     control.event(Event::Stop);
     let deadline = tokio::time::Instant::now() + settings.limits.stop_timeout();
@@ -83,13 +95,15 @@
         tokio::time::sleep(FLUSH).await;
         anyhow::Ok(())
     };
-    tokio::time::timeout_at(deadline, finishing)
-        .await
-        .context("the graceful stop took longer than `limits.stop_timeout_ms`: requests may have been cut")??;
+    let finished = tokio::time::timeout_at(deadline, finishing).await;
+    let graceful = matches!(finished, Ok(Ok(())));
+    shared.tell(ProcessEvent::Stopped { graceful });
+    finished.context(
+        "the graceful stop took longer than `limits.stop_timeout_ms`: requests may have been cut",
+    )??;
     if thread.join().is_err() {
         anyhow::bail!("the control thread panicked: see the log above");
     }
-    log::info!("the graceful stop is complete");
     Ok(())
 }
 
--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -23,6 +23,7 @@
 use membership::CheckInAnswer;
 use membership::Event;
 use serde_json::json;
+use telemetry::Dependency;
 
 use crate::Environment;
 use crate::RangeGrant;
@@ -79,6 +80,7 @@
 impl ReportService {
     async fn report(&self, report: UpstreamReport) -> Response<Bytes> {
         let service = report.service.clone();
+        self.shared.regained(Dependency::Upstream, "");
         self.home.report_cold(&report.instance, report.cold_left);
         if report.draining {
             self.home.report_leaving(&report.instance);
--- a/crates/router/src/settings/addresses.rs
+++ b/crates/router/src/settings/addresses.rs
@@ -16,6 +16,9 @@
     /// Address for callers.
     #[serde(deserialize_with = "ip_and_port")]
     pub caller: SocketAddr,
+    /// Address at which metrics are read, none when absent.
+    #[serde(default, deserialize_with = "optional_ip_and_port")]
+    pub metrics: Option<SocketAddr>,
     /// Address for operators.
     #[serde(deserialize_with = "ip_and_port")]
     pub operator: SocketAddr,
@@ -25,22 +28,35 @@
 }
 
 impl Addresses {
-    pub(crate) fn named(&self) -> [(&'static str, SocketAddr); 4] {
+    /// Returns all addresses with the names of their fields.
+    pub(crate) fn named(&self) -> impl Iterator<Item = (&'static str, SocketAddr)> {
+        let metrics = self.metrics.map(|address| ("addresses.metrics", address));
         [
             ("addresses.announce", self.announce),
             ("addresses.caller", self.caller),
             ("addresses.operator", self.operator),
             ("addresses.peer", self.peer),
         ]
+        .into_iter()
+        .chain(metrics)
     }
 }
 
 fn ip_and_port<'de, D: Deserializer<'de>>(deserializer: D) -> Result<SocketAddr, D::Error> {
-    let text = String::deserialize(deserializer)?;
-    let error = || {
-        D::Error::custom(format!(
+    parse(&String::deserialize(deserializer)?)
+}
+
+fn optional_ip_and_port<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<SocketAddr>, D::Error> {
+    let text = Option::<String>::deserialize(deserializer)?;
+    text.map(|text| parse(&text)).transpose()
+}
+
+fn parse<E: Error>(text: &str) -> Result<SocketAddr, E> {
+    text.parse().map_err(|_| {
+        E::custom(format!(
             "`{text}` is not an IP number with a port, such as `10.0.0.1:7000`"
         ))
-    };
-    text.parse().map_err(|_| error())
+    })
 }
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod addresses;
 mod limits;
 mod log_service;
+mod logging_settings;
 mod metrics_settings;
 mod policy_settings;
 mod range;
@@ -13,6 +14,7 @@
 pub use addresses::Addresses;
 pub use limits::Limits;
 pub use log_service::LogService;
+pub use logging_settings::LoggingSettings;
 pub use metrics_settings::MetricsSettings;
 pub use policy_settings::ChooserKind;
 pub use policy_settings::LimitKind;
--- a/crates/router/src/settings/settings_file.rs
+++ b/crates/router/src/settings/settings_file.rs
@@ -19,6 +19,7 @@
 use crate::settings::Addresses;
 use crate::settings::Limits;
 use crate::settings::LogService;
+use crate::settings::LoggingSettings;
 use crate::settings::MetricsSettings;
 use crate::settings::PolicySettings;
 use crate::settings::RateTolerance;
@@ -48,7 +49,10 @@
     /// Least severe level that is logged.
     #[serde(default = "default_level")]
     pub log_level: LevelFilter,
-    /// Where metrics go, nowhere when absent.
+    /// Which log lines are written.
+    #[serde(default)]
+    pub logging: LoggingSettings,
+    /// Where metrics are sent, nowhere when absent. They can be read at `addresses.metrics` besides.
     #[serde(default)]
     pub metrics: Option<MetricsSettings>,
     /// The secret that peers share, in place of a file where the network is closed to others.
@@ -122,6 +126,7 @@
         self.check_addresses()?;
         self.log.check()?;
         self.limits.check()?;
+        self.logging.check()?;
         if let Some(tolerance) = &self.rate_tolerance {
             tolerance.check()?;
         }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -12,15 +13,26 @@
 use ids::ZoneId;
 use membership::Agent;
 use policy::Pacing;
+use telemetry::Belief;
+use telemetry::DecisionLog;
+use telemetry::Dependencies;
+use telemetry::Dependency;
+use telemetry::EventLine;
+use telemetry::Facts;
+use telemetry::LINE_TARGET;
+use telemetry::Metrics;
+use telemetry::ProcessEvent;
+use telemetry::RequestDecision;
+use telemetry::Step;
 use upstream::Dialect;
 
 use crate::RateTolerance;
 use crate::Settings;
 use crate::clock::Clock;
+use crate::clock::milliseconds;
+use crate::clock::unix_ms;
 use crate::control_traffic::ControlTraffic;
-use crate::decisions::Recent;
 use crate::lease::Lease;
-use crate::metrics::Metrics;
 use crate::record_store::RecordStore;
 use crate::settings::Limits;
 use crate::settings::PolicySettings;
@@ -32,10 +44,13 @@
     pub(crate) clock: Clock,
     pub(crate) control_traffic: ControlTraffic,
     pub(crate) caller_service: Option<ServiceId>,
-    pub(crate) decisions: Recent,
+    pub(crate) decisions: DecisionLog,
+    dependencies: Dependencies,
     pub(crate) dialect: Arc<Dialect>,
     pub(crate) lease: Lease,
     pub(crate) limits: Limits,
+    /// Time at which the log, or a peer in its place, last answered a read, in milliseconds.
+    log_read_ms: AtomicU64,
     pub(crate) metrics: Metrics,
     pub(crate) policy: PolicySettings,
     pub(crate) rate_tolerance: Option<RateTolerance>,
@@ -66,12 +81,16 @@
             clock: Clock::new(),
             control_traffic: ControlTraffic::default(),
             caller_service: settings.caller_service.clone(),
-            decisions: Recent::new(
+            decisions: DecisionLog::new(
+                settings.logging.requests,
+                settings.logging.sample_one_in,
                 usize::try_from(settings.limits.kept_decisions).unwrap_or(usize::MAX),
             ),
+            dependencies: Dependencies::default(),
             dialect: Arc::new(dialect),
             lease: Lease::default(),
             limits: settings.limits.clone(),
+            log_read_ms: AtomicU64::new(0),
             metrics,
             policy: settings.policy.clone(),
             rate_tolerance: settings.rate_tolerance.clone(),
@@ -110,4 +129,73 @@
     pub(crate) fn stop(&self) {
         self.stopping.store(true, Ordering::SeqCst);
     }
+
+    /// Returns a decision of this process about a request, without its inputs.
+    pub(crate) fn decision(&self, step: Step, request_id: &str, reason: &str) -> RequestDecision {
+        RequestDecision {
+            belief: None,
+            facts: Facts::default(),
+            fence: None,
+            reason: reason.to_owned(),
+            request_id: request_id.to_owned(),
+            service: None,
+            step,
+            time_unix_ms: unix_ms(),
+            to: None,
+            unit: None,
+            vm: self.vm.clone(),
+            workspace: None,
+        }
+    }
+
+    /// Returns what this process believes of the fleet.
+    pub(crate) fn belief(&self) -> Belief {
+        let view = self.view();
+        let read = Duration::from_millis(self.log_read_ms.load(Ordering::Relaxed));
+        Belief {
+            informed: view.informed,
+            log_next: view.fleet.next(),
+            log_read_ms_ago: milliseconds(self.clock.now().saturating_sub(read)),
+            revision: view.fleet.revision(),
+        }
+    }
+
+    /// Takes in that the log, or a peer in its place, answered a read.
+    pub(crate) fn note_log_read(&self) {
+        let now = milliseconds(self.clock.now());
+        self.log_read_ms.store(now, Ordering::Relaxed);
+    }
+
+    /// Writes a line about the process.
+    pub(crate) fn tell(&self, event: ProcessEvent) {
+        let line = EventLine {
+            event,
+            time_unix_ms: unix_ms(),
+            vm: self.vm.clone(),
+        };
+        log::info!(target: LINE_TARGET, "{}", line.to_json());
+    }
+
+    /// Takes in that something this process depends on does not answer.
+    pub(crate) fn lost(&self, dependency: Dependency, name: &str, problem: &str) {
+        self.metrics.count(dependency.as_str(), "failed");
+        let now = self.clock.now();
+        if let Some(event) = self.dependencies.lost(now, dependency, name, problem) {
+            self.tell(event);
+        }
+    }
+
+    /// Takes in that something this process depends on answers.
+    pub(crate) fn regained(&self, dependency: Dependency, name: &str) {
+        self.metrics.count(dependency.as_str(), "answered");
+        let now = self.clock.now();
+        if let Some(event) = self.dependencies.regained(now, dependency, name) {
+            self.tell(event);
+        }
+    }
+
+    /// Returns the number of dependencies of a kind that do not answer.
+    pub(crate) fn count_lost(&self, dependency: Dependency) -> usize {
+        self.dependencies.count_lost(dependency)
+    }
 }
--- a/crates/skylarkctl/src/command.rs
+++ b/crates/skylarkctl/src/command.rs
@@ -15,6 +15,11 @@
 pub(crate) enum Command {
     /// Asks a process.
     Ask(Question),
+    /// Tells from log files what became of a request.
+    Explain {
+        request_id: RequestId,
+        files: Vec<PathBuf>,
+    },
     /// Prints the help text.
     Help,
     /// Reads the log, and may write to it.
--- /dev/null
+++ b/crates/skylarkctl/src/explain/account.rs
@@ -0,0 +1,135 @@
+//! The way of one request through all processes.
+
+use std::fmt::Display;
+use std::fmt::Formatter;
+use std::path::PathBuf;
+
+use ids::RequestId;
+use serde::Serialize;
+use telemetry::Facts;
+use telemetry::RequestDecision;
+
+use crate::explain::cause::cause;
+use crate::explain::log_line::LogLine;
+use crate::explain::state::State;
+use crate::failure::Failure;
+
+/// The way of one request through all processes, in order of time.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub(crate) struct Account {
+    request_id: RequestId,
+    cause: String,
+    steps: Vec<AccountStep>,
+}
+
+/// One decision about the request, and what was amiss with the process that took it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub(crate) struct AccountStep {
+    #[serde(flatten)]
+    pub(crate) decision: RequestDecision,
+    pub(crate) amiss: Vec<String>,
+}
+
+impl Account {
+    /// Reads what the log lines in `files` tell about a request.
+    pub(crate) fn read(request_id: &str, files: &[PathBuf]) -> Result<Self, Failure> {
+        let mut lines = Vec::new();
+        for file in files {
+            let text = std::fs::read(file).map_err(|error| Failure::File {
+                error,
+                file: file.clone(),
+            })?;
+            let text = String::from_utf8_lossy(&text);
+            lines.extend(text.lines().filter_map(LogLine::parse));
+        }
+        lines.sort_by_key(LogLine::time_unix_ms);
+        let mut state = State::default();
+        let mut steps = Vec::new();
+        for line in &lines {
+            state.read(line);
+            if let LogLine::Request(decision) = line
+                && decision.request_id == request_id
+            {
+                steps.push(AccountStep {
+                    amiss: state.of(&decision.vm, decision.time_unix_ms),
+                    decision: RequestDecision::clone(decision),
+                });
+            }
+        }
+        if steps.is_empty() {
+            return Err(Failure::NotLogged {
+                lines: lines.len(),
+                request_id: request_id.to_owned(),
+            });
+        }
+        Ok(Self {
+            cause: cause(&steps),
+            request_id: request_id.to_owned(),
+            steps,
+        })
+    }
+}
+
+impl Display for Account {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        writeln!(f, "request {}", self.request_id)?;
+        let first = self.steps[0].decision.time_unix_ms;
+        for step in &self.steps {
+            let decision = &step.decision;
+            let after = decision.time_unix_ms - first;
+            let name = name(decision);
+            write!(
+                f,
+                "  +{after} ms {} {name}: {}",
+                decision.vm, decision.reason
+            )?;
+            write_target(f, decision)?;
+            writeln!(f)?;
+            write_facts(f, &decision.facts)?;
+            if let Some(belief) = &decision.belief {
+                let informed = if belief.informed {
+                    ""
+                } else {
+                    ", not informed"
+                };
+                writeln!(
+                    f,
+                    "      believed: configuration {}, log up to {}, read {} ms ago{informed}",
+                    belief.revision, belief.log_next, belief.log_read_ms_ago
+                )?;
+            }
+            for amiss in &step.amiss {
+                writeln!(f, "      amiss: {amiss}")?;
+            }
+        }
+        writeln!(f, "cause: {}", self.cause)
+    }
+}
+
+/// Returns the step as its log line names it.
+fn name(decision: &RequestDecision) -> String {
+    let name = serde_json::to_value(decision.step).unwrap_or_default();
+    name.as_str().unwrap_or_default().to_owned()
+}
+
+fn write_target(f: &mut Formatter<'_>, decision: &RequestDecision) -> std::fmt::Result {
+    if let Some(to) = &decision.to {
+        write!(f, ", to {to}")?;
+    }
+    if let Some(unit) = &decision.unit {
+        write!(f, ", {unit}")?;
+    }
+    if let Some(fence) = decision.fence {
+        write!(f, " under fence {fence}")?;
+    }
+    Ok(())
+}
+
+fn write_facts(f: &mut Formatter<'_>, facts: &Facts) -> std::fmt::Result {
+    let facts = serde_json::to_value(facts).unwrap_or_default();
+    let Some(facts) = facts.as_object().filter(|facts| !facts.is_empty()) else {
+        return Ok(());
+    };
+    let facts = facts.iter().map(|(name, value)| format!("{name} {value}"));
+    writeln!(f, "      {}", facts.collect::<Vec<_>>().join(", "))
+}
--- /dev/null
+++ b/crates/skylarkctl/src/explain/cause.rs
@@ -0,0 +1,136 @@
+//! Why a request ended as it did.
+
+use telemetry::RequestDecision;
+use telemetry::Step;
+
+use crate::explain::account::AccountStep;
+
+/// Returns in one sentence why a request ended as it did.
+pub(crate) fn cause(steps: &[AccountStep]) -> String {
+    let end = steps.iter().rev().find(|step| {
+        let step = step.decision.step;
+        matches!(step, Step::Answered | Step::Refused)
+    });
+    let Some(end) = end else {
+        return "the lines do not say how it ended: add the log of the process that its caller sent it to"
+            .to_owned();
+    };
+    match end.decision.step {
+        Step::Answered => answered(steps, &end.decision),
+        _ => refused(steps, end),
+    }
+}
+
+fn answered(steps: &[AccountStep], end: &RequestDecision) -> String {
+    let elapsed = end.facts.elapsed_ms.unwrap_or_default();
+    let status = end.facts.status.unwrap_or_default();
+    let ended = last(steps, |step| step == Step::Ended);
+    let Some(home) = ended else {
+        return format!("answered with status {status} after {elapsed} ms");
+    };
+    let waited = home.facts.waited_ms.unwrap_or_default();
+    let upstream = home.facts.upstream_ms.unwrap_or_default();
+    let vm = &home.vm;
+    let unit = home.unit.as_ref();
+    let unit = unit.map(|unit| format!(", which owns {unit}"));
+    let unit = unit.unwrap_or_default();
+    let elsewhere = elapsed.saturating_sub(waited + upstream);
+    let main = if waited >= upstream.max(elsewhere) {
+        "most of it was the wait for a turn"
+    } else if upstream >= elsewhere {
+        "most of it was the upstream"
+    } else {
+        "most of it was before the home, or between the processes"
+    };
+    format!(
+        "answered with status {status} after {elapsed} ms: {waited} ms wait for a turn and {upstream} ms at the \
+         upstream of {vm}{unit}; {main}"
+    )
+}
+
+fn refused(steps: &[AccountStep], end: &AccountStep) -> String {
+    let decision = &end.decision;
+    let facts = &decision.facts;
+    let entry = &decision.vm;
+    let outcome = match facts.not_run {
+        Some(true) => "refused, and has not run",
+        _ => "given up, and may have run",
+    };
+    let home = last(steps, |step| {
+        matches!(step, Step::Failed | Step::TurnedAway)
+    });
+    let routed = last(steps, |step| {
+        matches!(step, Step::Hedged | Step::Retried | Step::Routed)
+    });
+    let why = match decision.reason.as_str() {
+        "rate-exceeded" => rate_exceeded(decision),
+        "overloaded" | "shed" => {
+            home.map_or_else(|| format!("{entry} could not pass it on"), overloaded)
+        }
+        "upstream-silent" | "upstream-crashed" => {
+            let vm = home.map(|home| &home.vm);
+            let vm = vm.or_else(|| routed.and_then(|routed| routed.to.as_ref()));
+            let vm = vm.map_or("its home", String::as_str);
+            let what = match decision.reason.as_str() {
+                "upstream-crashed" => "the upstream ended while the request ran",
+                _ => "no whole answer came back",
+            };
+            format!("{vm} had it, and {what}")
+        }
+        "owner-unreachable" if facts.not_run == Some(false) => {
+            let vm = routed.and_then(|routed| routed.to.as_ref());
+            let vm = vm.map_or("its home", String::as_str);
+            format!("{vm} had it, and its process has ended or cannot be reached")
+        }
+        "lease-lapsed" | "no-owner" | "not-owner" | "owner-unreachable" => {
+            let vm = routed.and_then(|routed| routed.to.as_ref());
+            let vm = vm.map_or("nobody", String::as_str);
+            format!("its key was not served at that time; {entry} knew {vm} as its owner")
+        }
+        "uninformed" => format!("{entry} could not know the configuration in force"),
+        other => format!("{other} at {entry}"),
+    };
+    let amiss = end.amiss.iter().chain(
+        home.and_then(|home| steps.iter().find(|step| step.decision == *home))
+            .map(|step| step.amiss.as_slice())
+            .unwrap_or_default(),
+    );
+    let amiss: Vec<_> = amiss.map(String::as_str).collect();
+    let amiss = match amiss.is_empty() {
+        true => String::new(),
+        false => format!("; {}", amiss.join("; ")),
+    };
+    format!("{outcome}: {why}{amiss}")
+}
+
+fn rate_exceeded(decision: &RequestDecision) -> String {
+    let facts = &decision.facts;
+    let workspace = decision.workspace.as_deref().unwrap_or("its workspace");
+    let rate = facts.rate.unwrap_or_default();
+    let burst = facts.burst.unwrap_or_default();
+    let revision = decision.belief.map_or(0, |belief| belief.revision);
+    format!(
+        "all entries together passed on what {workspace} may send, {rate} requests a second and a burst of {burst} by \
+         configuration {revision}"
+    )
+}
+
+fn overloaded(home: &RequestDecision) -> String {
+    let facts = &home.facts;
+    let (running, limit) = (facts.running.unwrap_or(0), facts.limit.unwrap_or(0));
+    let ahead = facts.ahead.unwrap_or(0);
+    let cold = match facts.cold {
+        Some(true) => ", cold",
+        _ => "",
+    };
+    let target = facts.target_latency_ms.unwrap_or(0);
+    format!(
+        "{} ran {running} of {limit} at once{cold} with {ahead} ahead of it, too many for an answer within {target} ms",
+        home.vm
+    )
+}
+
+fn last(steps: &[AccountStep], matches: impl Fn(Step) -> bool) -> Option<&RequestDecision> {
+    let mut decisions = steps.iter().rev().map(|step| &step.decision);
+    decisions.find(|decision| matches(decision.step))
+}
--- a/crates/skylarkctl/src/failure.rs
+++ b/crates/skylarkctl/src/failure.rs
@@ -33,6 +33,12 @@
     /// The log has no beginning that makes sense.
     #[error("the log keeps records from offset {first} on, and no snapshot: check its retention")]
     NoSnapshot { first: Offset },
+    /// No line is about the request.
+    #[error(
+        "none of {lines} lines is about request {request_id}: add the log of the process that answered it, and check \
+         that `logging.requests` or `logging.sample_one_in` covers it"
+    )]
+    NotLogged { lines: usize, request_id: String },
     /// The log refused the record until time was up.
     #[error("nothing was written ({reason}): run the command again later")]
     NotWritten { reason: String },
@@ -85,6 +91,7 @@
         match self {
             Self::Daemon { .. }
             | Self::NoSnapshot { .. }
+            | Self::NotLogged { .. }
             | Self::NotWritten { .. }
             | Self::Raced { .. }
             | Self::Read(_)
--- a/crates/skylarkctl/src/help.rs
+++ b/crates/skylarkctl/src/help.rs
@@ -27,6 +27,10 @@
   owner SERVICE KEY       the unit of a key, and its owner
   explain REQUEST-ID      the decisions that a process took on a request
 
+command that reads the log lines of processes:
+  explain REQUEST-ID FILE...
+                          the way of a request through all processes, what each believed, and why it ended so
+
 options:
   --log URL               address of the log service; repeat it for further ones
   --daemon ADDRESS        operator address of a process, such as 10.0.0.7:7103
--- a/crates/skylarkctl/src/lib.rs
+++ b/crates/skylarkctl/src/lib.rs
@@ -3,6 +3,7 @@
 mod command;
 mod confirmed_append;
 mod daemon;
+mod explain;
 mod failure;
 mod folded_log;
 mod help;
--- a/crates/skylarkctl/src/options.rs
+++ b/crates/skylarkctl/src/options.rs
@@ -59,9 +59,7 @@
     let name = args.subcommand().map_err(usage)?.unwrap_or_default();
     match name.as_str() {
         "declare-lost" => declare_lost(args).map(Command::UseLog),
-        "explain" => Ok(Command::Ask(Question::Explain {
-            request_id: word(args, "REQUEST-ID")?,
-        })),
+        "explain" => explain(args),
         "key" => key(args).map(Command::UseLog),
         "owner" => Ok(Command::Ask(Question::Owner {
             service: word(args, "SERVICE")?,
@@ -93,6 +91,19 @@
     Ok(LogCommand::DeclareLost { vm })
 }
 
+/// Reads what `explain` takes. Without files, a process is asked.
+fn explain(args: &mut Arguments) -> Result<Command, Failure> {
+    let request_id = word(args, "REQUEST-ID")?;
+    let mut files = Vec::new();
+    while let Some(file) = args.opt_free_from_str::<PathBuf>().map_err(usage)? {
+        files.push(file);
+    }
+    if files.is_empty() {
+        return Ok(Command::Ask(Question::Explain { request_id }));
+    }
+    Ok(Command::Explain { request_id, files })
+}
+
 fn key(args: &mut Arguments) -> Result<LogCommand, Failure> {
     let hash: Option<String> = option(args, "--hash")?;
     if one_of(args, "issue", "withdraw")? {
--- a/crates/skylarkctl/src/report.rs
+++ b/crates/skylarkctl/src/report.rs
@@ -10,12 +10,18 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::explain::Account;
 use crate::status_text::status_text;
 
 /// What a command achieved.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "result")]
 pub(crate) enum Report {
+    /// What log files tell about a request.
+    Account {
+        /// What they tell.
+        account: Account,
+    },
     /// A record took effect.
     Done {
         /// What was done.
@@ -70,6 +76,7 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Done { what, version } => writeln!(f, "{what}: in force as version {version}"),
+            Self::Account { account } => write!(f, "{account}"),
             Self::Answer { answer } => writeln!(f, "{answer:#}"),
             Self::Document { document, version } => {
                 let text = match document {
--- a/crates/skylarkctl/src/run.rs
+++ b/crates/skylarkctl/src/run.rs
@@ -12,6 +12,7 @@
 use crate::command::LogCommand;
 use crate::command::Question;
 use crate::daemon::Daemon;
+use crate::explain::Account;
 use crate::failure::Failure;
 use crate::folded_log::FoldedLog;
 use crate::help::HELP;
@@ -71,6 +72,9 @@
 fn execute(options: &Options, connect: Connect<'_>) -> Result<Report, Failure> {
     match &options.command {
         Command::Ask(question) => ask(&daemon(options)?, question),
+        Command::Explain { request_id, files } => Ok(Report::Account {
+            account: Account::read(request_id, files)?,
+        }),
         Command::Help => Ok(Report::Text {
             text: HELP.to_owned(),
         }),
--- /dev/null
+++ b/crates/telemetry/src/request_decision.rs
@@ -0,0 +1,68 @@
+//! One decision about a request.
+
+use ids::Fence;
+use ids::RequestId;
+use ids::ServiceId;
+use ids::Unit;
+use ids::VmId;
+use ids::WorkspaceId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Belief;
+use crate::Facts;
+use crate::Step;
+
+/// One decision about a request, as its log line states it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestDecision {
+    /// Wall-clock time, in milliseconds since the Unix epoch.
+    pub time_unix_ms: u64,
+    /// VM of the process that decided.
+    pub vm: VmId,
+    /// What was decided.
+    pub step: Step,
+    /// The request.
+    pub request_id: RequestId,
+    /// Why.
+    pub reason: String,
+    /// Service that the request is for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<ServiceId>,
+    /// Workspace that sent the request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceId>,
+    /// VM that the request goes to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub to: Option<VmId>,
+    /// Unit that the key belongs to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub unit: Option<Unit>,
+    /// Fence under which the unit is owned.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fence: Option<Fence>,
+    /// What the process believed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub belief: Option<Belief>,
+    /// The inputs.
+    #[serde(flatten)]
+    pub facts: Facts,
+}
+
+impl RequestDecision {
+    /// Tells whether the request did not get what its caller asked for, or got it later than its route aims at.
+    pub fn is_failure(&self) -> bool {
+        self.step.is_failure() || self.is_late()
+    }
+
+    fn is_late(&self) -> bool {
+        let facts = &self.facts;
+        let at_home = facts.waited_ms.zip(facts.upstream_ms);
+        let at_home = at_home.map(|(waited, upstream)| waited + upstream);
+        let taken = facts.elapsed_ms.or(at_home);
+        let target = facts.target_latency_ms.filter(|target| *target > 0);
+        taken
+            .zip(target)
+            .is_some_and(|(taken, target)| taken > target)
+    }
+}
