Hold leases soon after a restart of all processes

Cause: after a final fault that kills every process, leases held 1.5 to 1.7 s after the joins. The log lines show two waits: a heartbeat that is answered with contact and no renewal, as by a witness that has no lease yet itself, was repeated only after the interval of 1 s; and witnesses whose lives had ended were replaced only after the settling time of 1.5 s.

Change: such a heartbeat is repeated after 200 ms, and lost witnesses are replaced from 300 ms after a join on. The test of a fleet that starts anew failed before (1,961 ms from the last join to the last lease), and holds now (below 800 ms).

What is left of the gap after a restart are buckets of workspaces, which begin empty.

--- a/crates/membership/src/agent_log.rs
+++ b/crates/membership/src/agent_log.rs
@@ -14,6 +14,7 @@
 use crate::LeaveReason;
 use crate::Life;
 use crate::times::LONG_LIFE;
+use crate::times::LOST_SETTLING_TIME;
 use crate::times::REJOIN_PAUSE;
 use crate::times::REJOIN_PAUSE_MAX;
 use crate::times::RETENTION_PART;
@@ -57,6 +58,7 @@
             (Life::Joining(joining), Body::Join(_)) if applied => {
                 self.life = Life::Active(joining.clone().joined(now, offset));
                 self.pace.rewitness = now + SETTLING_TIME;
+                self.pace.rewitness_lost = now + LOST_SETTLING_TIME;
                 let incarnation = offset;
                 actions.push(Action::Decide(Decision::Joined { incarnation }));
             }
@@ -64,6 +66,7 @@
                 let mut next = active.clone();
                 next.incarnation = offset;
                 next.since = now;
+                self.pace.rewitness_lost = now + LOST_SETTLING_TIME;
                 self.life = Life::Active(next);
                 self.forget_witnesses();
                 let incarnation = offset;
--- a/crates/membership/src/agent_witness.rs
+++ b/crates/membership/src/agent_witness.rs
@@ -140,7 +140,11 @@
     /// Present witnesses that are gone can't renew, so further ones are asked for then.
     pub(crate) fn rewitness(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let is_pending = |body: &Body| matches!(body, Body::Rewitness { .. });
-        let is_early = now < self.pace.rewitness && !self.witnesses.is_alone();
+        let due = match self.lease.is_lost() {
+            true => self.pace.rewitness.min(self.pace.rewitness_lost),
+            false => self.pace.rewitness,
+        };
+        let is_early = now < due && !self.witnesses.is_alone();
         let is_paced = is_early || self.appends.any(is_pending);
         let is_ready = self.has_released_former(now);
         let releases = self.log.fleet().releases_witnesses(&self.cfg.vm);
@@ -148,6 +152,7 @@
             return;
         }
         self.pace.rewitness = now + REWITNESS_PAUSE;
+        self.pace.rewitness_lost = now + REWITNESS_PAUSE;
         let fleet = self.log.fleet();
         let (Some(member), Some(incarnation)) =
             (fleet.members().get(&self.cfg.vm), self.life.incarnation())
--- a/crates/membership/src/pace.rs
+++ b/crates/membership/src/pace.rs
@@ -21,6 +21,8 @@
     pub(crate) pull: Duration,
     /// Time of the next replacement of witnesses.
     pub(crate) rewitness: Duration,
+    /// Time of the next replacement of witnesses that cannot renew.
+    pub(crate) rewitness_lost: Duration,
     /// Time from which a snapshot has been missing.
     pub(crate) snapshot_missing: Option<Duration>,
     /// What the newest snapshot covers, and when that was read.
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -11,6 +11,10 @@
 /// Time after which an unanswered heartbeat is sent again.
 pub(crate) const HEARTBEAT_RETRY: Duration = Duration::from_millis(100);
 
+/// Time between two heartbeats to a witness that gives contact and cannot renew yet, as when many members have just
+/// started.
+pub(crate) const RENEWAL_RETRY: Duration = Duration::from_millis(200);
+
 /// Time between two ticks above which a process counts as having been paused.
 pub(crate) const PAUSE: Duration = Duration::from_millis(500);
 
@@ -83,6 +87,10 @@
 /// Time after a join in which a member with witnesses asks for no better ones, since others may be about to join.
 pub(crate) const SETTLING_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time after a join in which a member asks for no better witnesses although those it has cannot renew, as the members
+/// that start with it join meanwhile.
+pub(crate) const LOST_SETTLING_TIME: Duration = Duration::from_millis(300);
+
 /// Time between two replacements of witnesses by one member.
 pub(crate) const REWITNESS_PAUSE: Duration = Duration::from_secs(1);
 
--- a/crates/membership/src/witness_link.rs
+++ b/crates/membership/src/witness_link.rs
@@ -8,6 +8,7 @@
 use crate::HeartbeatAnswer;
 use crate::times::HEARTBEAT_INTERVAL;
 use crate::times::HEARTBEAT_RETRY;
+use crate::times::RENEWAL_RETRY;
 
 /// Heartbeats to one witness, and what it answered.
 #[derive(Clone, Debug, Default)]
@@ -44,7 +45,12 @@
             return;
         };
         self.sent.retain(|_, other| *other > sent_at);
-        self.due = sent_at + HEARTBEAT_INTERVAL;
+        let pause = if answer.contact && !answer.renewal {
+            RENEWAL_RETRY
+        } else {
+            HEARTBEAT_INTERVAL
+        };
+        self.due = sent_at + pause;
         self.refused = !answer.contact;
         if answer.contact {
             self.contact = self.contact.max(Some(sent_at));
--- a/crates/membership/tests/model/scenarios.rs
+++ b/crates/membership/tests/model/scenarios.rs
@@ -92,6 +92,28 @@
     assert!(took <= 3 * TAKEOVER_MS, "{took} ms");
 }
 
+#[test]
+fn leases_of_a_fleet_that_starts_anew_hold_soon_after_the_last_join() {
+    for seed in 100..106 {
+        let mut world = World::new(seed, 9, Wrong::Nothing);
+        world.run_until(START);
+        world.decisions.clear();
+        for index in 0..9 {
+            world.nodes[index].kill();
+            world.schedule(index as u64 * 50 * MS, index, Input::Restart);
+        }
+        world.run_until(START + 20 * SECOND);
+        let last = |matches: fn(&Decision) -> bool| {
+            let decisions = world.decisions.iter();
+            let matching = decisions.filter(|(_, _, decision)| matches(decision));
+            matching.map(|(at, ..)| *at).max().unwrap()
+        };
+        let joined = last(|decision| matches!(decision, Decision::Joined { .. }));
+        let held = last(|decision| matches!(decision, Decision::LeaseHeld { .. }));
+        assert!(held < joined + 800, "{} ms with seed {seed}", held - joined);
+    }
+}
+
 #[test]
 fn units_of_a_frozen_upstream_are_served_again() {
     let mut world = settled();
