Hedge by the latency of requests of like routes, and only onto free slots

Cause: the delay before a hedge was the p95 of all requests of a service together. Routes of one service differ sixfold in their work, so requests of the fast one (target latency 100 ms) were hedged after some 300 ms, too late to help.

--- a/crates/router/src/entry/keyless_run.rs
+++ b/crates/router/src/entry/keyless_run.rs
@@ -49,6 +49,7 @@
     keyless: &'a Keyless,
     service: String,
     started: Duration,
+    target_latency: Duration,
     ticket: Ticket,
     vm: VmId,
 }
@@ -129,14 +130,19 @@
             .is_none_or(|attempts| self.dispatch.attempt < attempts)
     }
 
+    fn target_latency(&self) -> Duration {
+        Duration::from_millis(self.dispatch.target_latency_ms)
+    }
+
     fn plan_hedge(&mut self) {
         let may_hedge = self.dispatch.idempotent
             && self.has_attempts()
             && !self.keyless.is_suspect(&self.dispatch);
         self.hedge_at = may_hedge.then(|| {
-            let delay = self
-                .keyless
-                .with(&self.dispatch.service, |service| service.hedge_delay());
+            let target = self.target_latency();
+            let delay = self.keyless.with(&self.dispatch.service, |service| {
+                service.hedge_delay(target)
+            });
             Instant::now() + delay
         });
     }
@@ -203,6 +209,7 @@
             keyless: self.keyless,
             service: self.dispatch.service.clone(),
             started: now,
+            target_latency: self.target_latency(),
             ticket,
             vm: target.vm.clone(),
         };
@@ -232,7 +239,8 @@
     fn drop(&mut self) {
         let now = self.keyless.homes.shared.clock.now();
         self.keyless.with(&self.service, |service| {
-            service.end(now, &self.vm, self.ticket, self.completion);
+            let target = self.target_latency;
+            service.end(now, &self.vm, self.ticket, target, self.completion);
         });
     }
 }
--- a/crates/router/src/entry/keyless_service.rs
+++ b/crates/router/src/entry/keyless_service.rs
@@ -1,5 +1,6 @@
 //! Choice of a home for requests of one service without keys.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -26,7 +27,8 @@
     pub(crate) budget: RetryBudget,
     candidates: Vec<Candidate>,
     chooser: Box<dyn Chooser + Send>,
-    hedge: HedgePolicy,
+    /// When to hedge, by the target latency of the route, since routes differ in their work.
+    hedges: BTreeMap<Duration, HedgePolicy>,
     next_ticket: Ticket,
     read: Offset,
     service: String,
@@ -45,7 +47,7 @@
             budget: RetryBudget::new(policy.extra_percent()),
             candidates: Vec::new(),
             chooser,
-            hedge: HedgePolicy::default(),
+            hedges: BTreeMap::new(),
             next_ticket: 0,
             read: 0,
             service: service.to_owned(),
@@ -69,8 +71,9 @@
         let candidates: Vec<_> = members.map(candidate).collect();
         if candidates != self.candidates {
             self.chooser.set_candidates(now, &candidates);
-            self.hedge
-                .set_upstreams(candidates.iter().map(|candidate| &candidate.vm));
+            for hedge in self.hedges.values_mut() {
+                hedge.set_upstreams(candidates.iter().map(|candidate| &candidate.vm));
+            }
             self.candidates = candidates;
         }
     }
@@ -88,21 +91,38 @@
         ticket
     }
 
-    /// Takes in how a request ended.
-    pub(crate) fn end(&mut self, now: Duration, vm: &VmId, ticket: Ticket, completion: Completion) {
+    /// Takes in how a request ended whose route has the target latency `target`.
+    pub(crate) fn end(
+        &mut self,
+        now: Duration,
+        vm: &VmId,
+        ticket: Ticket,
+        target: Duration,
+        completion: Completion,
+    ) {
         self.chooser.finished(now, vm, ticket, completion);
         if let Completion::Answered { latency } = completion {
-            self.hedge.observe(vm, latency);
+            self.hedge(target).observe(vm, latency);
         }
     }
 
+    fn hedge(&mut self, target: Duration) -> &mut HedgePolicy {
+        let candidates = &self.candidates;
+        self.hedges.entry(target).or_insert_with(|| {
+            let mut hedge = HedgePolicy::default();
+            hedge.set_upstreams(candidates.iter().map(|candidate| &candidate.vm));
+            hedge
+        })
+    }
+
     /// Returns the names of all candidates.
     pub(crate) fn vms(&self) -> impl Iterator<Item = &VmId> {
         self.candidates.iter().map(|candidate| &candidate.vm)
     }
 
-    /// Returns the time after which a second copy of an idempotent request is sent.
-    pub(crate) fn hedge_delay(&self) -> Duration {
-        self.hedge.delay()
+    /// Returns the time after which a second copy of an idempotent request is sent whose route has the target latency
+    /// `target`.
+    pub(crate) fn hedge_delay(&mut self, target: Duration) -> Duration {
+        self.hedge(target).delay()
     }
 }
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -84,6 +84,7 @@
                 entry_offset: self.dispatch.entry_offset,
                 fingerprint: self.dispatch.fingerprint.clone(),
                 grant: grant_of(&self.dispatch),
+                is_hedge: self.dispatch.hedge,
                 key: self.dispatch.key.clone(),
                 target_latency: Duration::from_millis(self.dispatch.target_latency_ms),
                 tenant_key: self.dispatch.tenant_key_hash.clone(),
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -241,6 +241,9 @@
         let waiting = self.queue.ahead_of(queued.rank) + usize::from(self.held.is_some());
         let is_full = self.limiter.in_flight() >= slots;
         let ahead = waiting + usize::from(is_full);
+        if queued.item.is_hedge && ahead > 0 {
+            return None;
+        }
         let until = self.service_times.wait_until(now, target, ahead, slots)?;
         Some(until.min(queued.deadline))
     }
--- a/crates/router/src/home/waiting.rs
+++ b/crates/router/src/home/waiting.rs
@@ -22,6 +22,8 @@
     pub(crate) entry_offset: Offset,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) grant: Option<(Unit, Fence)>,
+    /// Whether another home may be running the same request.
+    pub(crate) is_hedge: bool,
     pub(crate) key: Option<String>,
     /// Target latency of the route, zero when it has none.
     pub(crate) target_latency: Duration,
