Let requests that can still meet their target latency go before those that come again too late for it

Change: the entry remembers refused requests by what they do and when they end, so that one that comes again is recognised for certain; the dispatch says how late it came. It waits for what is left of its target latency, and among equals goes behind those that can still meet it.

--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -7,12 +7,17 @@
 ///
 /// The priority of the workspace goes before that of the route. Among equals, requests without a workspace come first, since
 /// upstreams send them while they run a request themselves, whose run is lost without the answer; then the priority of the
-/// route decides.
-pub fn rank(workspace_priority: Option<u32>, route_priority: u32, has_workspace: bool) -> u32 {
+/// route decides, and last whether the target latency can still be met.
+pub fn rank(
+    workspace_priority: Option<u32>,
+    route_priority: u32,
+    has_workspace: bool,
+    is_late: bool,
+) -> u32 {
     let priority = workspace_priority.unwrap_or(route_priority);
-    let among_equals = route_priority.min(ROUTE_RANKS - 1);
-    let first = if has_workspace { ROUTE_RANKS } else { 0 };
+    let among_equals = 2 * route_priority.min(ROUTE_RANKS - 1) + u32::from(is_late);
+    let first = if has_workspace { 2 * ROUTE_RANKS } else { 0 };
     priority
-        .saturating_mul(2 * ROUTE_RANKS)
+        .saturating_mul(4 * ROUTE_RANKS)
         .saturating_add(first + among_equals)
 }
--- a/crates/policy/src/service_times.rs
+++ b/crates/policy/src/service_times.rs
@@ -31,22 +31,23 @@
     }
 
     /// Returns the time until which a request waits for one of `slots` behind `ahead` others, or nothing if its turn would
-    /// come too late for its target latency.
+    /// come too late. `target` is the target latency of its route, and `left` what is left of that.
     pub fn wait_until(
         &self,
         now: Duration,
         target: Duration,
+        left: Duration,
         ahead: usize,
         slots: u32,
     ) -> Option<Duration> {
-        let until = now + self.patience(target);
+        let until = now + self.patience(target, left);
         (now + self.wait(ahead, slots) < until).then_some(until)
     }
 
     /// Returns how long a request may wait and still be answered within its target latency, on the mean.
-    fn patience(&self, target: Duration) -> Duration {
+    fn patience(&self, target: Duration, left: Duration) -> Duration {
         let taken = self.by_target.get(&target).or(self.all.as_ref());
-        let left = target.saturating_sub(taken.copied().unwrap_or_default());
+        let left = left.saturating_sub(taken.copied().unwrap_or_default());
         left.max(target / SHORTEST_WAIT_PART)
     }
 
--- a/crates/policy/tests/ranked.rs
+++ b/crates/policy/tests/ranked.rs
@@ -41,21 +41,23 @@
 }
 
 #[test]
-fn ranks_follow_the_workspace_then_calls_of_upstreams_then_the_route() {
-    let urgent_workspace = rank(Some(0), 9, true);
-    let call = rank(None, 1, false);
-    let urgent_route = rank(Some(1), 1, true);
-    let other_route = rank(Some(1), 2, true);
-    let no_priority = rank(None, 2, true);
+fn ranks_follow_the_workspace_then_calls_of_upstreams_then_the_route_then_the_target_latency() {
+    let urgent_workspace = rank(Some(0), 9, true, true);
+    let call = rank(None, 1, false, false);
+    let urgent_route = rank(Some(1), 1, true, false);
+    let urgent_route_late = rank(Some(1), 1, true, true);
+    let other_route = rank(Some(1), 2, true, false);
+    let no_priority = rank(None, 2, true, false);
     let ranks = [
         urgent_workspace,
         call,
         urgent_route,
+        urgent_route_late,
         other_route,
         no_priority,
     ];
     assert!(ranks.is_sorted_by(|a, b| a < b), "{ranks:?}");
-    assert_eq!(rank(Some(u32::MAX), 1, true), u32::MAX);
+    assert_eq!(rank(Some(u32::MAX), 1, true, false), u32::MAX);
 }
 
 #[test]
--- a/crates/router/src/entry/caller_request.rs
+++ b/crates/router/src/entry/caller_request.rs
@@ -39,6 +39,8 @@
 pub(crate) struct CallerRequest {
     /// Most upstreams that the request may be sent to, absent for the number of this product.
     pub(crate) attempts: Option<u32>,
+    /// Time that the caller waits, also where the route allows less.
+    pub(crate) asked: Duration,
     pub(crate) body: Bytes,
     pub(crate) content_type: Option<String>,
     pub(crate) headers: HeaderMap,
@@ -83,6 +85,7 @@
         }
         let asked = timeout(&head.headers, &dialect.deadline_ms, &shared.limits)?;
         Ok(Self {
+            asked,
             attempts: chosen.attempts,
             content_type: header(&head.headers, &CONTENT_TYPE)?,
             idempotency_key: header(&head.headers, &IDEMPOTENCY_HEADER)?,
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -1,6 +1,10 @@
 //! The interface for callers.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cluster::Fleet;
@@ -13,9 +17,11 @@
 use ids::WorkspaceId;
 use policy::Admitted;
 use policy::Authenticated;
+use policy::Fingerprint;
 use policy::Outcome;
 use policy::Reason;
 use policy::Received;
+use policy::RecentRefusals;
 use policy::Refusal;
 use policy::Standing;
 use policy::rank;
@@ -48,14 +54,26 @@
     pub(crate) keyed: Keyed,
     pub(crate) keyless: Keyless,
     pub(crate) meters: Arc<Meters>,
+    /// Requests that were refused and may come again.
+    pub(crate) refusals: Mutex<RecentRefusals>,
     pub(crate) shared: Arc<Shared>,
     pub(crate) splits: Splits,
 }
 
+/// What recognises a request that comes again.
+#[derive(Debug)]
+struct Identity {
+    deadline: Duration,
+    fingerprint: Fingerprint,
+    first_arrived: Duration,
+}
+
 /// What is known of a request when it ends.
 #[derive(Debug, Default)]
 struct Course {
     facts: Facts,
+    /// What recognises the request when it comes again, absent while it has not been read.
+    identity: Option<Identity>,
     route: String,
     service: Option<ServiceId>,
     workspace: Option<WorkspaceId>,
@@ -130,9 +148,15 @@
         course.learn_workspace(workspace.as_ref(), &view.fleet);
         let authenticated = received.authenticate(workspace);
         let authenticated = self.check(authenticated, &request)?;
+        let fingerprint = request.fingerprint(authenticated.workspace().map(String::as_str));
+        let first_arrived = self.first_arrived(now, &request, &fingerprint, course);
         let admitted = self.admit(authenticated, credentials.as_ref()).await?;
         let attempts = request.attempts;
-        let dispatch = self.dispatch(&admitted, request, credentials.as_ref());
+        let returned_after = now.saturating_sub(first_arrived);
+        let dispatch = Dispatch {
+            fingerprint,
+            ..self.dispatch(&admitted, request, credentials.as_ref(), returned_after)
+        };
         let admitted = self.check_quarantine(admitted, &dispatch)?;
         if dispatch.key.is_some() {
             self.keyed.run(admitted, dispatch).await
@@ -141,6 +165,32 @@
         }
     }
 
+    /// Returns when a request first arrived, which is now unless it was refused before.
+    fn first_arrived(
+        &self,
+        now: Duration,
+        request: &CallerRequest,
+        fingerprint: &Fingerprint,
+        course: &mut Course,
+    ) -> Duration {
+        let deadline = now + request.asked;
+        let mut refusals = self.refusals();
+        let first = refusals.take(now, fingerprint, deadline);
+        drop(refusals);
+        let first_arrived = first.unwrap_or(now);
+        course.facts.returned_after_ms = first.map(|first| milliseconds(now.saturating_sub(first)));
+        course.identity = Some(Identity {
+            deadline,
+            fingerprint: fingerprint.clone(),
+            first_arrived,
+        });
+        first_arrived
+    }
+
+    fn refusals(&self) -> MutexGuard<'_, RecentRefusals> {
+        self.refusals.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn unavailable(&self, informed: bool) -> Option<Reason> {
         if self.shared.is_stopping() {
             return Some(Reason::Stopping);
@@ -211,6 +261,7 @@
         admitted: &Admitted,
         request: CallerRequest,
         credentials: Option<&Credentials>,
+        returned_after: Duration,
     ) -> Dispatch {
         let view = self.shared.view();
         let workspace = admitted.workspace().cloned();
@@ -230,10 +281,12 @@
                 plan.and_then(|plan| plan.priority),
                 request.priority,
                 workspace.is_some(),
+                !returned_after.is_zero() && returned_after >= request.target_latency,
             ),
             queue_ms: milliseconds(queue),
             request_id: admitted.head().id.clone(),
-            fingerprint: request.fingerprint(workspace.as_deref()),
+            returned_after_ms: milliseconds(returned_after),
+            fingerprint: String::new(),
             workspace,
             service: request.service,
             key: request.key,
@@ -277,6 +330,14 @@
         let metrics = &self.shared.metrics;
         metrics.count_request(&course.route, outcome.as_str(), reason);
         course.facts.not_run = Some(outcome == Outcome::NotRun);
+        if let Some(identity) = course.identity.filter(|_| outcome == Outcome::NotRun) {
+            self.refusals().refused(
+                self.shared.clock.now(),
+                &identity.fingerprint,
+                identity.deadline,
+                identity.first_arrived,
+            );
+        }
         course.facts.retry_after_ms = refusal.retry_after().map(milliseconds);
         let decision = self.shared.decision(Step::Refused, request_id, reason);
         self.shared.decisions.record(RequestDecision {
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -75,6 +75,9 @@
 
     async fn permit(&self) -> Result<Permit, Outcome> {
         let (tx, rx) = oneshot::channel();
+        let returned_after_ms = self.dispatch.returned_after_ms;
+        let target_left_ms = self.dispatch.target_latency_ms;
+        let target_left_ms = target_left_ms.saturating_sub(returned_after_ms);
         self.home.enqueue(Queued {
             deadline: self.queue_deadline(),
             id: self.dispatch.request_id.clone(),
@@ -86,6 +89,7 @@
                 grant: grant_of(&self.dispatch),
                 is_hedge: self.dispatch.hedge,
                 key: self.dispatch.key.clone(),
+                target_left: Duration::from_millis(target_left_ms),
                 target_latency: Duration::from_millis(self.dispatch.target_latency_ms),
                 tenant_key: self.dispatch.tenant_key_hash.clone(),
                 tx,
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -244,7 +244,9 @@
         if queued.item.is_hedge && ahead > 0 {
             return None;
         }
-        let until = self.service_times.wait_until(now, target, ahead, slots)?;
+        let until =
+            self.service_times
+                .wait_until(now, target, queued.item.target_left, ahead, slots)?;
         Some(until.min(queued.deadline))
     }
 
--- a/crates/router/src/home/waiting.rs
+++ b/crates/router/src/home/waiting.rs
@@ -25,6 +25,8 @@
     /// Whether another home may be running the same request.
     pub(crate) is_hedge: bool,
     pub(crate) key: Option<String>,
+    /// What is left of the target latency.
+    pub(crate) target_left: Duration,
     /// Target latency of the route, zero when it has none.
     pub(crate) target_latency: Duration,
     pub(crate) tenant_key: Option<String>,
--- a/crates/router/src/process/parts.rs
+++ b/crates/router/src/process/parts.rs
@@ -1,6 +1,7 @@
 //! The parts of the process.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::thread::JoinHandle;
 
@@ -292,6 +293,7 @@
             },
             keyless: Keyless::new(homes, self.spread),
             meters,
+            refusals: Mutex::default(),
             shared: Arc::clone(&self.shared),
             splits: Splits::default(),
         }
--- a/crates/telemetry/src/facts.rs
+++ b/crates/telemetry/src/facts.rs
@@ -40,6 +40,9 @@
     /// Time after which the caller was told to come back.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// Time since the request first arrived, if it was refused before.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub returned_after_ms: Option<u64>,
     /// Requests that ran on the upstream.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub running: Option<u32>,
--- a/crates/wire/src/message/dispatch.rs
+++ b/crates/wire/src/message/dispatch.rs
@@ -91,4 +91,7 @@
     /// Target latency of the route, in milliseconds, or 0 when it has none.
     #[prost(uint64, tag = "26")]
     pub target_latency_ms: u64,
+    /// Time by which the request came later than it first did, in milliseconds, since it was refused before.
+    #[prost(uint64, tag = "27")]
+    pub returned_after_ms: u64,
 }
