--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod load_exchange;
 mod log_reader;
 mod log_writer;
+mod read_pace;
 mod recorder;
 mod upstream_control;
 
@@ -19,5 +20,6 @@
 pub(crate) use input::Input;
 pub(crate) use log_reader::LogReader;
 pub(crate) use log_writer::LogWriter;
+pub(crate) use read_pace::ReadPace;
 pub(crate) use recorder::Recorder;
 pub(crate) use upstream_control::UpstreamControl;
