--- a/crates/router/src/control/log_reader.rs
+++ b/crates/router/src/control/log_reader.rs
@@ -27,7 +27,7 @@
     cursor: Arc<AtomicU64>,
     log: Arc<dyn Log>,
     shared: Arc<Shared>,
-    /// Longest pause after a read with records, so that the next read finds several.
+    /// Pause after a read with records, so that the next read finds several.
     pause: Duration,
     wait: Duration,
 }
@@ -70,7 +70,7 @@
                     let has_records = !batch.records.is_empty();
                     self.pass_on(batch);
                     if has_records {
-                        self.shared.read_pace.pause(self.pause);
+                        thread::sleep(self.pause);
                     }
                     wait = self.wait;
                 }
--- a/crates/router/src/control/log_writer.rs
+++ b/crates/router/src/control/log_writer.rs
@@ -50,10 +50,7 @@
         };
         shared.control_traffic.log_call(bytes.len());
         match log.append(&bytes) {
-            Ok(_) => {
-                shared.regained(Dependency::LogWrites, "");
-                shared.read_pace.urge();
-            }
+            Ok(_) => shared.regained(Dependency::LogWrites, ""),
             Err(error) => shared.lost(Dependency::LogWrites, "", &error.to_string()),
         }
     }
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -8,7 +8,6 @@
 mod load_exchange;
 mod log_reader;
 mod log_writer;
-mod read_pace;
 mod recorder;
 mod upstream_control;
 
@@ -20,6 +19,5 @@
 pub(crate) use input::Input;
 pub(crate) use log_reader::LogReader;
 pub(crate) use log_writer::LogWriter;
-pub(crate) use read_pace::ReadPace;
 pub(crate) use recorder::Recorder;
 pub(crate) use upstream_control::UpstreamControl;
--- a/crates/router/src/entry/keyed.rs
+++ b/crates/router/src/entry/keyed.rs
@@ -53,9 +53,6 @@
                             let pause = statement.retry_after().unwrap_or(pause);
                             return Err(admitted.refuse(statement.reason(), Some(pause)));
                         }
-                        if statement.reason() == Reason::NotOwner {
-                            self.homes.shared.read_pace.urge();
-                        }
                         statement.reason()
                     }
                     Attempt::Refused(refusal) => return Err(refusal),
--- a/crates/router/src/environment/declared_sink.rs
+++ b/crates/router/src/environment/declared_sink.rs
@@ -23,7 +23,6 @@
 
     /// Passes on all that operators declare at present.
     pub fn declare(&self, declared: Declared) {
-        self.shared.read_pace.expect_declaration();
         self.control.event(Event::Declared(declared));
     }
 
--- a/crates/router/src/links/peer_service.rs
+++ b/crates/router/src/links/peer_service.rs
@@ -93,7 +93,6 @@
             .unit
             .parse::<Unit>()
             .is_ok_and(|unit| self.arrivals.put(unit, &hand_over.remembered));
-        self.shared.read_pace.urge();
         Reply::HandedOver(HandedOver { accepted })
     }
 
--- a/crates/router/src/settings/log_service.rs
+++ b/crates/router/src/settings/log_service.rs
@@ -13,8 +13,7 @@
 pub struct LogService {
     /// Base addresses of the log service, such as `http://10.0.0.1:8080`, tried in turn.
     pub addresses: Vec<String>,
-    /// Longest pause after a read with records, in milliseconds. It makes reads fewer, and records that do not concern this
-    /// process later.
+    /// Pause after a read with records, in milliseconds. It makes reads fewer, and records later.
     #[serde(default)]
     pub read_pause_ms: u64,
     /// Time that one read waits for new records, in milliseconds.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -31,7 +31,6 @@
 use crate::clock::Clock;
 use crate::clock::milliseconds;
 use crate::clock::unix_ms;
-use crate::control::ReadPace;
 use crate::control_traffic::ControlTraffic;
 use crate::lease::Lease;
 use crate::record_store::RecordStore;
@@ -55,7 +54,6 @@
     pub(crate) metrics: Metrics,
     pub(crate) policy: PolicySettings,
     pub(crate) rate_tolerance: Option<RateTolerance>,
-    pub(crate) read_pace: ReadPace,
     pub(crate) records: RecordStore,
     pub(crate) vm: VmId,
     pub(crate) zone: ZoneId,
@@ -79,9 +77,8 @@
             status: Arc::new(agent.status(Duration::ZERO)),
             upstream: None,
         };
-        let clock = Clock::new();
         Self {
-            clock,
+            clock: Clock::new(),
             control_traffic: ControlTraffic::default(),
             caller_service: settings.caller_service.clone(),
             decisions: DecisionLog::new(
@@ -97,7 +94,6 @@
             metrics,
             policy: settings.policy.clone(),
             rate_tolerance: settings.rate_tolerance.clone(),
-            read_pace: ReadPace::new(clock),
             records: RecordStore::default(),
             stopping: AtomicBool::new(false),
             view: ArcSwap::from_pointee(view),
