Pass on at once the ranges of a member that has far too many

Change: an owner with 1.5 times its fair share of ranges passes on all that are too many, to all members, in one plan. The planner's test failed before.

--- a/crates/cluster/src/plan_moves.rs
+++ b/crates/cluster/src/plan_moves.rs
@@ -25,6 +25,9 @@
 /// Load below the fair share from which on a member attracts units.
 const LOAD_ATTRACTION: f64 = 0.85;
 
+/// Units over the fair share from which on a member passes all that are too many on at once.
+const FAR_TOO_MANY: f64 = 1.5;
+
 /// Plans which units the member `me` passes to whom.
 ///
 /// Each owner alone decides about its units. Shares are in proportion to slots over the candidates
@@ -55,9 +58,13 @@
             moves.entry(to).or_default().extend(units);
         }
     }
-    if view.most_shards.is_some() && !plan.leaves() {
-        keep_largest(&mut moves);
+    if view.most_shards.is_none() || plan.leaves() {
+        return limit(moves, view.budget);
+    }
+    if plan.has_far_too_many() {
+        return moves.into_iter().collect();
     }
+    keep_largest(&mut moves);
     limit(moves, view.budget)
 }
 
@@ -92,6 +99,15 @@
         self.view.stopping || !self.fleet.is_candidate(self.me)
     }
 
+    /// Tells whether the member has so many units that it is better to pass all that are too many on at once, although
+    /// they are not served on their way: members have just joined, or returned.
+    fn has_far_too_many(&self) -> bool {
+        let nodes = self.service_nodes(&self.me.join.service, 0.0);
+        let count = |vm: &str| self.fleet.units.keyed_count_of(vm) as f64;
+        let total: f64 = nodes.iter().map(|node| count(&node.member.join.vm)).sum();
+        count(&self.me.join.vm) > FAR_TOO_MANY * total * self.my_part(&nodes)
+    }
+
     fn may_receive(&self, member: &Member) -> bool {
         let leaves = member.join.vm == self.me.join.vm && self.view.stopping;
         self.fleet.is_candidate(member) && !leaves
--- a/crates/cluster/tests/planner.rs
+++ b/crates/cluster/tests/planner.rs
@@ -329,3 +329,29 @@
         imbalance([0, 3, 4].map(|index| load_of(&log, &vm(index), &Loads::new()))) <= MAX_IMBALANCE
     );
 }
+
+#[test]
+fn a_member_alone_with_all_ranges_passes_the_shares_of_those_that_return_on_at_once() {
+    let mut log = Log::with_members(256, &["a"]);
+    for (index, zone) in [(1, "b"), (2, "c"), (3, "a")] {
+        log.applied(join(index, zone));
+    }
+    let polled = |log: &Log| LoadView {
+        most_shards: Some(165),
+        ..view(log, "vm-000", &Loads::new(), &BTreeMap::new(), 32)
+    };
+    let moves = plan_moves(&log.fleet, &vm(0), &polled(&log));
+    let counts: Vec<_> = moves.iter().map(|(_, units)| units.len()).collect();
+    assert_eq!(counts, [64, 64, 64]);
+    for (to, units) in &moves[..2] {
+        log.applied(body(&log, "vm-000", to, units));
+    }
+    let moves = plan_moves(&log.fleet, &vm(0), &polled(&log));
+    let counts: Vec<_> = moves.iter().map(|(_, units)| units.len()).collect();
+    assert_eq!(counts, [64], "128 of 64 are far too many still");
+    let (to, units) = &moves[0];
+    log.applied(body(&log, "vm-000", to, &units[..40]));
+    let moves = plan_moves(&log.fleet, &vm(0), &polled(&log));
+    let counts: Vec<_> = moves.iter().map(|(_, units)| units.len()).collect();
+    assert_eq!(counts, [24], "88 of 64 are not, and the budget holds");
+}
