--- a/crates/router/src/entry/keyless_run.rs
+++ b/crates/router/src/entry/keyless_run.rs
@@ -172,14 +172,7 @@
     }
 
     fn send_another(&mut self, dispatched: &mut Dispatched, step: Step) -> bool {
-        let excluded = match step {
-            // A hedge saves time in most cases only, so it should not cost traffic between zones.
-            Step::Hedged => self.keyless.with(&self.dispatch.service, |service| {
-                service.without_far(&self.excluded)
-            }),
-            _ => self.excluded.clone(),
-        };
-        let Some((target, reason)) = self.keyless.target(&self.dispatch, &excluded) else {
+        let Some((target, reason)) = self.keyless.target(&self.dispatch, &self.excluded) else {
             return false;
         };
         let is_new = !dispatched.open().contains(&target.vm) && dispatched.add(target.vm.clone());
--- a/crates/router/src/entry/keyless_service.rs
+++ b/crates/router/src/entry/keyless_service.rs
@@ -32,7 +32,6 @@
     next_ticket: Ticket,
     read: Offset,
     service: String,
-    zone: ZoneId,
 }
 
 impl KeylessService {
@@ -52,7 +51,6 @@
             next_ticket: 0,
             read: 0,
             service: service.to_owned(),
-            zone: zone.clone(),
         }
     }
 
@@ -85,19 +83,6 @@
         self.chooser.choose(now, excluded)
     }
 
-    /// Returns `excluded` with all homes of other zones, unless none of this zone is left.
-    pub(crate) fn without_far(&self, excluded: &BTreeSet<VmId>) -> BTreeSet<VmId> {
-        let is_near = |candidate: &&Candidate| candidate.zone == self.zone;
-        let candidates = || self.candidates.iter();
-        let mut near = candidates().filter(is_near);
-        if near.all(|candidate| excluded.contains(&candidate.vm)) {
-            return excluded.clone();
-        }
-        let far = candidates().filter(|candidate| !is_near(candidate));
-        let far = far.map(|candidate| candidate.vm.clone());
-        excluded.iter().cloned().chain(far).collect()
-    }
-
     /// Notes that a request goes to a home, and returns its identity.
     pub(crate) fn start(&mut self, now: Duration, vm: &VmId) -> Ticket {
         let ticket = self.next_ticket;
