--- a/crates/records/src/log.rs
+++ b/crates/records/src/log.rs
@@ -17,6 +17,18 @@
     /// Returns whether the record is certainly not in the log or may be.
     fn append(&self, record: &[u8]) -> Result<Offset, AppendError>;
 
+    /// Appends several records in their order, in one call where the log service has that.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the records are certainly not in the log or some of them may be.
+    fn append_all(&self, records: &[Vec<u8>]) -> Result<(), AppendError> {
+        for record in records {
+            self.append(record)?;
+        }
+        Ok(())
+    }
+
     /// Reads up to `max` records from `from` on, and waits up to `wait` for the first.
     ///
     /// # Errors
