Pass whole shares on at once only to members with hardly any units

Change: without a budget only units go that members with less than a quarter of their fair count get.

--- a/crates/cluster/src/plan_moves.rs
+++ b/crates/cluster/src/plan_moves.rs
@@ -1,6 +1,7 @@
 //! Planning of moves.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use ids::ServiceId;
 use ids::Unit;
@@ -25,9 +26,12 @@
 /// Load below the fair share from which on a member attracts units.
 const LOAD_ATTRACTION: f64 = 0.85;
 
-/// Units over the fair share from which on a member passes all that are too many on at once.
+/// Units over the fair share from which on a member passes units on to members that have hardly any without a budget.
 const FAR_TOO_MANY: f64 = 1.5;
 
+/// Part of its fair share below which a member has hardly any units.
+const NEARLY_EMPTY: f64 = 0.25;
+
 /// Plans which units the member `me` passes to whom.
 ///
 /// Each owner alone decides about its units. Shares are in proportion to slots over the candidates
@@ -62,7 +66,11 @@
         return limit(moves, view.budget);
     }
     if plan.has_far_too_many() {
-        return moves.into_iter().collect();
+        let empty = plan.nearly_empty();
+        if moves.keys().any(|vm| empty.contains(vm)) {
+            moves.retain(|vm, _| empty.contains(vm));
+            return moves.into_iter().collect();
+        }
     }
     keep_largest(&mut moves);
     limit(moves, view.budget)
@@ -99,13 +107,33 @@
         self.view.stopping || !self.fleet.is_candidate(self.me)
     }
 
-    /// Tells whether the member has so many units that it is better to pass all that are too many on at once, although
-    /// they are not served on their way: members have just joined, or returned.
+    /// Tells whether the member has far more units than its share.
     fn has_far_too_many(&self) -> bool {
-        let nodes = self.service_nodes(&self.me.join.service, 0.0);
-        let count = |vm: &str| self.fleet.units.keyed_count_of(vm) as f64;
-        let total: f64 = nodes.iter().map(|node| count(&node.member.join.vm)).sum();
-        count(&self.me.join.vm) > FAR_TOO_MANY * total * self.my_part(&nodes)
+        let part = self.count(self.me) / self.fair_count(self.me);
+        part > FAR_TOO_MANY
+    }
+
+    /// Returns the members that have hardly any units, since they have just joined or returned. It is better to pass their
+    /// shares on to them at once, although units are not served on their way.
+    fn nearly_empty(&self) -> BTreeSet<VmId> {
+        members_of(self.fleet, &self.me.join.service)
+            .filter(|member| self.may_receive(member))
+            .filter(|member| self.count(member) < NEARLY_EMPTY * self.fair_count(member))
+            .map(|member| member.join.vm.clone())
+            .collect()
+    }
+
+    fn count(&self, member: &Member) -> f64 {
+        self.fleet.units.keyed_count_of(&member.join.vm) as f64
+    }
+
+    /// Returns how many units of its service a member would have if units counted alike.
+    fn fair_count(&self, member: &Member) -> f64 {
+        let members = || members_of(self.fleet, &self.me.join.service);
+        let total: f64 = members().map(|member| self.count(member)).sum();
+        let receivers = members().filter(|member| self.may_receive(member));
+        let slots: u32 = receivers.map(|member| member.join.slots).sum();
+        total * f64::from(member.join.slots) / f64::from(slots.max(1))
     }
 
     fn may_receive(&self, member: &Member) -> bool {
