Replace idempotent requests whose homes give no sign; log callers that leave

Callers that leave had no line, so the course of a request now ends with one; then the lines showed 176 requests on their way to one machine that had gone dark, while the budget for hedges was used up. A link was pinged after 500 ms and closed after 2 s, longer than most callers wait.

Change: a link whose call waits is pinged after 150 ms; a home without any sign for 400 ms gets no new request, and an idempotent request that waits there goes to another home without using the budget, since nothing arrives at an upstream twice.

--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -7,27 +7,20 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cluster::Fleet;
 use http::Request;
 use http::Response;
 use httpd::Handler;
 use httpd::Refused;
 use ids::RequestId;
-use ids::ServiceId;
-use ids::WorkspaceId;
 use policy::Admitted;
 use policy::Authenticated;
 use policy::Fingerprint;
-use policy::Outcome;
 use policy::Reason;
 use policy::Received;
 use policy::RecentRefusals;
 use policy::Refusal;
 use policy::Standing;
 use policy::rank;
-use telemetry::Facts;
-use telemetry::RequestDecision;
-use telemetry::Step;
 use uuid::Uuid;
 use wire::Answer;
 use wire::Dispatch;
@@ -38,6 +31,8 @@
 use crate::entry::Keyless;
 use crate::entry::Splits;
 use crate::entry::caller_request::CallerRequest;
+use crate::entry::course::Course;
+use crate::entry::course::Identity;
 use crate::entry::credentials::Credentials;
 use crate::entry::responses::answered;
 use crate::entry::responses::refused;
@@ -60,41 +55,19 @@
     pub(crate) splits: Splits,
 }
 
-/// What recognises a request that comes again.
-#[derive(Debug)]
-struct Identity {
-    deadline: Duration,
-    fingerprint: Fingerprint,
-    first_arrived: Duration,
-}
-
-/// What is known of a request when it ends.
-#[derive(Debug, Default)]
-struct Course {
-    facts: Facts,
-    /// What recognises the request when it comes again, absent while it has not been read.
-    identity: Option<Identity>,
-    route: String,
-    service: Option<ServiceId>,
-    workspace: Option<WorkspaceId>,
-}
-
 impl Handler for CallerService {
     async fn handle(&self, req: Request<Bytes>) -> Response<Bytes> {
         let request_id = self.request_id(&req);
-        let started = self.shared.clock.now();
-        let mut course = Course::default();
-        let result = self.serve(&request_id, req, &mut course).await;
-        let taken = self.shared.clock.now().saturating_sub(started);
-        self.shared.metrics.time("request", taken);
-        course.facts.elapsed_ms = Some(milliseconds(taken));
-        match result {
+        let mut course = Course::new(&self.shared, &request_id);
+        match self.serve(&request_id, req, &mut course).await {
             Ok(answer) => {
-                self.conclude_answered(&request_id, course, &answer);
+                course.answered(&answer);
                 answered(&self.shared.dialect, &request_id, answer)
             }
             Err(refusal) => {
-                self.conclude_refused(&request_id, course, &refusal);
+                if let Some(identity) = course.refused(&refusal) {
+                    self.remember(&identity);
+                }
                 refused(&self.shared.dialect, &request_id, &refusal)
             }
         }
@@ -122,7 +95,7 @@
         &self,
         request_id: &str,
         req: Request<Bytes>,
-        course: &mut Course,
+        course: &mut Course<'_>,
     ) -> Result<Answer, Refusal> {
         let view = self.shared.view();
         let now = self.shared.clock.now();
@@ -171,22 +144,33 @@
         now: Duration,
         request: &CallerRequest,
         fingerprint: &Fingerprint,
-        course: &mut Course,
+        course: &mut Course<'_>,
     ) -> Duration {
         let deadline = now + request.asked;
         let mut refusals = self.refusals();
         let first = refusals.take(now, fingerprint, deadline);
         drop(refusals);
+        let returned_after = first.map(|first| now.saturating_sub(first));
         let first_arrived = first.unwrap_or(now);
-        course.facts.returned_after_ms = first.map(|first| milliseconds(now.saturating_sub(first)));
-        course.identity = Some(Identity {
+        let identity = Identity {
             deadline,
             fingerprint: fingerprint.clone(),
             first_arrived,
-        });
+        };
+        course.identify(identity, returned_after);
         first_arrived
     }
 
+    /// Remembers a request that was refused, and may come again.
+    fn remember(&self, identity: &Identity) {
+        self.refusals().refused(
+            self.shared.clock.now(),
+            &identity.fingerprint,
+            identity.deadline,
+            identity.first_arrived,
+        );
+    }
+
     fn refusals(&self) -> MutexGuard<'_, RecentRefusals> {
         self.refusals.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -309,62 +293,4 @@
             tenant_key_hash: credentials.map(|credentials| credentials.hash.prefix().to_owned()),
         }
     }
-
-    fn conclude_answered(&self, request_id: &str, mut course: Course, answer: &Answer) {
-        self.shared
-            .metrics
-            .count_request(&course.route, "answered", "");
-        course.facts.status = Some(answer.status);
-        let decision = self.shared.decision(Step::Answered, request_id, "answered");
-        self.shared.decisions.record(RequestDecision {
-            facts: course.facts,
-            service: course.service,
-            workspace: course.workspace,
-            ..decision
-        });
-    }
-
-    fn conclude_refused(&self, request_id: &str, mut course: Course, refusal: &Refusal) {
-        let reason = refusal.reason().as_str();
-        let outcome = refusal.outcome();
-        let metrics = &self.shared.metrics;
-        metrics.count_request(&course.route, outcome.as_str(), reason);
-        course.facts.not_run = Some(outcome == Outcome::NotRun);
-        if let Some(identity) = course.identity.filter(|_| outcome == Outcome::NotRun) {
-            self.refusals().refused(
-                self.shared.clock.now(),
-                &identity.fingerprint,
-                identity.deadline,
-                identity.first_arrived,
-            );
-        }
-        course.facts.retry_after_ms = refusal.retry_after().map(milliseconds);
-        let decision = self.shared.decision(Step::Refused, request_id, reason);
-        self.shared.decisions.record(RequestDecision {
-            belief: Some(self.shared.belief()),
-            facts: course.facts,
-            service: course.service,
-            workspace: course.workspace,
-            ..decision
-        });
-    }
-}
-
-impl Course {
-    fn learn_request(&mut self, request: &CallerRequest) {
-        self.facts.deadline_left_ms = Some(milliseconds(request.timeout));
-        self.facts.rank = Some(request.priority);
-        self.facts.target_latency_ms = Some(milliseconds(request.target_latency));
-        self.route.clone_from(&request.route);
-        self.service = Some(request.service.clone());
-    }
-
-    fn learn_workspace(&mut self, workspace: Option<&WorkspaceId>, fleet: &Fleet) {
-        self.workspace = workspace.cloned();
-        let plan = workspace.and_then(|workspace| fleet.plan_of(workspace));
-        if let Some(plan) = plan {
-            self.facts.burst = Some(plan.burst_requests);
-            self.facts.rate = Some(plan.rate_requests_per_second);
-        }
-    }
 }
--- a/crates/router/src/entry/keyless.rs
+++ b/crates/router/src/entry/keyless.rs
@@ -9,6 +9,7 @@
 use ids::ServiceId;
 use ids::VmId;
 use policy::Admitted;
+use policy::Choice;
 use policy::Refusal;
 use policy::Standing;
 use policy::isolation_home;
@@ -80,13 +81,21 @@
             })?;
             return Some((Target::member(fleet, &vm)?, "isolated".to_owned()));
         }
+        let mut excluded = excluded.clone();
+        let mut choice = self.choose(dispatch, &excluded)?;
+        if self.homes.links.is_silent(&choice.vm) && excluded.insert(choice.vm.clone()) {
+            choice = self.choose(dispatch, &excluded)?;
+        }
+        let reason = format!("{:?}", choice.reason).to_lowercase();
+        Some((Target::member(fleet, &choice.vm)?, reason))
+    }
+
+    fn choose(&self, dispatch: &Dispatch, excluded: &BTreeSet<VmId>) -> Option<Choice> {
         let now = self.homes.shared.clock.now();
-        let choice = self.with(&dispatch.service, |service| {
+        self.with(&dispatch.service, |service| {
             let choice = service.choose(now, excluded);
             choice.or_else(|| service.choose(now, &BTreeSet::new()))
-        })?;
-        let reason = format!("{:?}", choice.reason).to_lowercase();
-        Some((Target::member(fleet, &choice.vm)?, reason))
+        })
     }
 
     /// Tells whether requests like this one may have crashed an upstream.
--- a/crates/router/src/entry/keyless_run.rs
+++ b/crates/router/src/entry/keyless_run.rs
@@ -31,6 +31,10 @@
 use crate::entry::call_home::Reply;
 use crate::entry::retry_after::retry_after;
 use crate::entry::target::Target;
+use crate::links::SILENT_AFTER;
+
+/// Time between two looks whether a home gives any sign.
+const SILENCE_PAUSE: Duration = Duration::from_millis(100);
 
 /// One request of a service without keys, with the copies of it that are on their way.
 pub(crate) struct KeylessRun<'a> {
@@ -41,6 +45,8 @@
     hedge_at: Option<Instant>,
     keyless: &'a Keyless,
     replies: FuturesUnordered<BoxFuture<'a, (VmId, Reply)>>,
+    /// Time of the next look whether the home gives any sign.
+    silence_at: Option<Instant>,
 }
 
 /// A copy of a request on its way to a home. It ends as cancelled when it is dropped.
@@ -63,6 +69,7 @@
             hedge_at: None,
             keyless,
             replies: FuturesUnordered::new(),
+            silence_at: None,
         }
     }
 
@@ -103,6 +110,10 @@
                     self.hedge(&mut dispatched);
                     continue;
                 }
+                () = wait_until(self.silence_at) => {
+                    self.replace_silent(&mut dispatched);
+                    continue;
+                }
             };
             let statement = match reply {
                 Reply::Answer(answer) => return Ended::Answered(answer),
@@ -157,6 +168,20 @@
         }
     }
 
+    /// Sends an idempotent request to another home if those that have it give no sign. That uses no budget, since what is
+    /// lost on its way reaches no upstream.
+    fn replace_silent(&mut self, dispatched: &mut Dispatched) {
+        let links = &self.keyless.homes.links;
+        let are_silent = dispatched.open().iter().all(|vm| links.is_silent(vm));
+        self.silence_at = None;
+        if !self.has_attempts() {
+            return;
+        }
+        if !are_silent || !self.send_another(dispatched, Step::Retried) {
+            self.silence_at = Some(Instant::now() + SILENCE_PAUSE);
+        }
+    }
+
     /// Sends an idempotent request with unknown outcome to another home, where the budget allows it.
     async fn retry_unknown(&mut self, dispatched: &mut Dispatched, statement: &Statement) -> bool {
         if !self.has_attempts() {
@@ -200,6 +225,8 @@
         self.dispatch.hedge = matches!(step, Step::Hedged);
         homes.record(step, &self.dispatch, &target, reason);
         self.dispatch.attempt += 1;
+        let may_replace = self.dispatch.idempotent && !self.keyless.is_suspect(&self.dispatch);
+        self.silence_at = may_replace.then(|| Instant::now() + SILENT_AFTER);
         self.excluded.insert(target.vm.clone());
         let ticket = self.keyless.with(&self.dispatch.service, |service| {
             service.start(now, &target.vm)
--- a/crates/router/src/entry/mod.rs
+++ b/crates/router/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod call_home;
 mod caller_request;
 mod caller_service;
+mod course;
 mod credentials;
 mod inquiry;
 mod keyed;
--- a/crates/router/src/links/link_pool.rs
+++ b/crates/router/src/links/link_pool.rs
@@ -28,6 +28,12 @@
 /// Time after a failed try in which no link to the peer is opened.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time that a call waits, without any frame from the peer, before a ping is sent.
+const PING_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Time without any sign of a peer after which it counts as silent: two pings and their answers, also of a busy process.
+pub(crate) const SILENT_AFTER: Duration = Duration::from_millis(400);
+
 /// Time to open a link.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -58,6 +64,8 @@
 pub(crate) struct LinkPool {
     counters: Arc<Counters>,
     me: Identity,
+    /// When the opening of a link began, for peers whose slots are locked by it.
+    opening: Mutex<BTreeMap<VmId, Instant>>,
     secret: Secret,
     service: Arc<PeerService>,
     settings: LinkSettings,
@@ -75,10 +83,12 @@
         Self {
             counters: Arc::default(),
             me,
+            opening: Mutex::default(),
             secret,
             service,
             settings: LinkSettings {
                 handshake_timeout: OPEN_TIMEOUT,
+                ping_interval: PING_INTERVAL,
                 ..LinkSettings::default()
             },
             shared,
@@ -96,6 +106,7 @@
         if present.failed_recently() {
             return None;
         }
+        self.note_opening(peer);
         let opened = self.open(peer, address).await;
         present.is_gone = opened.as_ref().is_err_and(is_refusal);
         present.link = opened.ok();
@@ -103,6 +114,24 @@
         present.link.clone()
     }
 
+    fn note_opening(&self, peer: &VmId) {
+        let mut opening = self.opening.lock().unwrap_or_else(PoisonError::into_inner);
+        opening.insert(peer.clone(), Instant::now());
+    }
+
+    /// Tells whether a peer gives no sign, so that calls to it may wait in vain: its link is silent, or does not open.
+    pub(crate) fn is_silent(&self, peer: &VmId) -> bool {
+        let slot = self.slot(peer);
+        let Ok(present) = slot.try_lock() else {
+            let opening = self.opening.lock().unwrap_or_else(PoisonError::into_inner);
+            let since = opening.get(peer);
+            return since.is_some_and(|since| since.elapsed() >= SILENT_AFTER);
+        };
+        present
+            .link()
+            .is_some_and(|link| link.is_silent_for(SILENT_AFTER))
+    }
+
     /// Tells whether nothing listened at the peer's address when a link was last tried: its process has ended.
     pub(crate) async fn is_gone(&self, peer: &VmId) -> bool {
         self.slot(peer).lock().await.is_gone
--- a/crates/skylarkctl/src/explain/cause.rs
+++ b/crates/skylarkctl/src/explain/cause.rs
@@ -9,7 +9,7 @@
 pub(crate) fn cause(steps: &[AccountStep]) -> String {
     let end = steps.iter().rev().find(|step| {
         let step = step.decision.step;
-        matches!(step, Step::Answered | Step::Refused)
+        matches!(step, Step::Answered | Step::CallerLeft | Step::Refused)
     });
     let Some(end) = end else {
         return "the lines do not say how it ended: add the log of the process that its caller sent it to"
@@ -17,6 +17,7 @@
     };
     match end.decision.step {
         Step::Answered => answered(steps, &end.decision),
+        Step::CallerLeft => caller_left(steps, &end.decision),
         _ => refused(steps, end),
     }
 }
@@ -48,6 +49,23 @@
     )
 }
 
+fn caller_left(steps: &[AccountStep], end: &RequestDecision) -> String {
+    let elapsed = end.facts.elapsed_ms.unwrap_or_default();
+    let routed = last(steps, |step| {
+        matches!(step, Step::Hedged | Step::Retried | Step::Routed)
+    });
+    let dispatched = last(steps, |step| step == Step::Dispatched);
+    let where_it_was = match (dispatched, routed) {
+        (Some(home), _) => format!("the upstream of {} had it", home.vm),
+        (None, Some(routed)) => {
+            let vm = routed.to.as_deref().unwrap_or("its home");
+            format!("it was on its way to {vm}, or waited there")
+        }
+        (None, None) => format!("{} had not passed it on", end.vm),
+    };
+    format!("its caller left after {elapsed} ms, when {where_it_was}")
+}
+
 fn refused(steps: &[AccountStep], end: &AccountStep) -> String {
     let decision = &end.decision;
     let facts = &decision.facts;
--- a/crates/telemetry/src/step.rs
+++ b/crates/telemetry/src/step.rs
@@ -9,6 +9,8 @@
 pub enum Step {
     /// The entry gave the caller an answer.
     Answered,
+    /// The caller closed its connection before there was an answer.
+    CallerLeft,
     /// The home gave the request to its upstream.
     Dispatched,
     /// The home got the answer of its upstream.
@@ -32,6 +34,9 @@
 impl Step {
     /// Tells whether the request did not get what its caller asked for.
     pub fn is_failure(self) -> bool {
-        matches!(self, Self::Failed | Self::Refused | Self::TurnedAway)
+        matches!(
+            self,
+            Self::CallerLeft | Self::Failed | Self::Refused | Self::TurnedAway
+        )
     }
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -56,6 +56,15 @@
         self.shared.closed.is_cancelled()
     }
 
+    /// Tells whether a call has waited for `time` without any frame from the peer, which answers pings meanwhile unless it
+    /// is lost or stands still.
+    pub fn is_silent_for(&self, time: Duration) -> bool {
+        let Some(since) = self.shared.pending().waiting_since() else {
+            return false;
+        };
+        since.max(self.shared.heard.last()).elapsed() >= time
+    }
+
     /// Waits until the link is closed.
     pub async fn closed(&self) {
         self.shared.closed.cancelled().await;
