Tell requests over a rate to come back when a bucket has a token

Cause: after a restart of all processes buckets are empty for 1.5 s, and the requests of workspaces within their rates were told to come back after 20 ms, where they were refused again and for good. Change: the entry knows from the answer of a bucket when it has its next token; Retry-After is no earlier than that.

--- a/crates/policy/src/bucket_view.rs
+++ b/crates/policy/src/bucket_view.rs
@@ -128,6 +128,11 @@
         now >= self.not_before && self.pending.is_none_or(|pending| pending.timed_out)
     }
 
+    /// Returns for how long the bucket has no token, as it said when it was last asked.
+    pub(crate) fn empty_for(&self, now: Duration) -> Duration {
+        self.not_before.saturating_sub(now)
+    }
+
     /// Returns whether the last ask got no answer in time.
     pub(crate) fn is_silent(&self) -> bool {
         self.silences > 0
--- a/crates/policy/src/token_cache.rs
+++ b/crates/policy/src/token_cache.rs
@@ -90,10 +90,17 @@
         Duration::from_secs(1) / rate * ahead
     }
 
-    fn retry_after(&self) -> Duration {
+    /// Returns when a request that gets no token now may get one: in its turn, and not before a bucket has said that it may
+    /// have one.
+    fn retry_after(&self, now: Duration) -> Duration {
         let rate = self.limit.rate_requests_per_second.max(1);
         let expected = self.expected_wait() + Duration::from_secs(1) / rate;
-        expected.max(self.pacing.least_retry_after)
+        let parts = self.limit.parts() as usize;
+        let buckets = self.buckets[..parts].iter();
+        let refilled = buckets.map(|bucket| bucket.empty_for(now)).min();
+        expected
+            .max(self.pacing.least_retry_after)
+            .max(refilled.unwrap_or_default())
     }
 
     fn ahead(&self, now: Duration) -> u32 {
@@ -126,7 +133,7 @@
             }
             self.refused.extend(self.waiting.pop_front());
         }
-        let retry_after = self.retry_after();
+        let retry_after = self.retry_after(now);
         let refused = std::mem::take(&mut self.refused);
         steps.extend(refused.into_iter().map(|waiter| MeterStep::Refuse {
             ticket: waiter.ticket,
@@ -213,7 +220,7 @@
         }
         if self.limit.parts() == 0 || self.expected_wait() >= self.longest_wait() {
             return Admission::Refused {
-                retry_after: self.retry_after(),
+                retry_after: self.retry_after(now),
             };
         }
         self.waiting.push_back(Waiter { since: now, ticket });
--- a/crates/policy/tests/buckets.rs
+++ b/crates/policy/tests/buckets.rs
@@ -3,11 +3,16 @@
 use std::time::Duration;
 
 use policy::AHEAD_EXPIRY;
+use policy::Admission;
 use policy::BUCKETS;
 use policy::BatchReport;
 use policy::Bucket;
 use policy::BucketState;
 use policy::Limit;
+use policy::Meter;
+use policy::MeterStep;
+use policy::Pacing;
+use policy::TokenCache;
 use policy::WAITING_EXPIRY;
 use policy::Wanted;
 use quickcheck::Gen;
@@ -173,3 +178,34 @@
     assert!(granted <= 20_000 + 10, "{granted}");
     assert!(granted > 19_500, "{granted}");
 }
+
+#[test]
+fn a_request_that_gets_no_token_is_told_when_the_bucket_has_one() {
+    const MS: Duration = Duration::from_millis(1);
+    let limit = Limit {
+        burst_requests: 4,
+        rate_requests_per_second: 10,
+    };
+    let mut bucket = Bucket::new(Duration::ZERO, 1, limit).with_pacing(Pacing::RELAXED);
+    let mut cache = TokenCache::new(limit, 0).with_pacing(Pacing::RELAXED);
+    assert_eq!(cache.admit(MS, 1), Admission::Waiting);
+    let steps = cache.poll(MS);
+    let [MeterStep::Ask(ask)] = &steps[..] else {
+        panic!("{steps:?}");
+    };
+    let empty = bucket.grant(2 * MS, &"vm-1".to_owned(), ask.wanted);
+    assert_eq!(
+        empty.tokens, 0,
+        "the batches of an earlier owner may be in use"
+    );
+    cache.answered(3 * MS, ask.id, &empty);
+    let steps = cache.poll(50 * MS);
+    let [MeterStep::Refuse { retry_after, .. }] = &steps[..] else {
+        panic!("{steps:?}");
+    };
+    let at = 50 * MS + *retry_after;
+    assert!(
+        bucket.grant(at, &"vm-1".to_owned(), ask.wanted).tokens > 0,
+        "told to come back after {retry_after:?}"
+    );
+}
