--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -85,6 +85,7 @@
 mod under_way;
 mod upstream;
 mod upstream_health;
+mod upstream_polled;
 mod wanted;
 mod watch;
 mod watches;
--- a/crates/membership/src/upstream.rs
+++ b/crates/membership/src/upstream.rs
@@ -4,14 +4,11 @@
 use std::time::Duration;
 
 use cluster::DRIFT_MARGIN;
-use cluster::UnitFence;
 use ids::Fence;
 use ids::Unit;
 
 use crate::Action;
 use crate::Announcement;
-use crate::CheckIn;
-use crate::CheckInAnswer;
 use crate::Grant;
 use crate::GrantAnswer;
 use crate::UnderWay;
@@ -19,8 +16,6 @@
 use crate::Wanted;
 use crate::times::GRANT_RENEWAL;
 use crate::times::GRANT_TIMEOUT;
-use crate::times::HOLD_PART;
-use crate::times::LONGEST_HOLD;
 use crate::times::POLL_SILENCE;
 use crate::times::REVOKE_POLL;
 use crate::times::UPSTREAM_SILENCE;
@@ -31,21 +26,21 @@
 /// its units count as held until they are revoked or the expiry has passed.
 #[derive(Debug, Default)]
 pub(crate) struct Upstream {
-    accepted: Option<Announcement>,
-    born_unix_ms: u64,
+    pub(crate) accepted: Option<Announcement>,
+    pub(crate) born_unix_ms: u64,
     candidate: Option<Announcement>,
-    confirmed: BTreeMap<Unit, Fence>,
+    pub(crate) confirmed: BTreeMap<Unit, Fence>,
     confirmed_until: Duration,
-    draining: bool,
-    health: UpstreamHealth,
-    held: BTreeMap<Unit, Fence>,
+    pub(crate) draining: bool,
+    pub(crate) health: UpstreamHealth,
+    pub(crate) held: BTreeMap<Unit, Fence>,
     holder: String,
-    held_until: Duration,
+    pub(crate) held_until: Duration,
     poll_due: Duration,
-    polled: u64,
+    pub(crate) polled: u64,
     resync: bool,
     /// Changes whenever `confirmed` does.
-    revision: u64,
+    pub(crate) revision: u64,
     sequence: u64,
     /// Revisions of the wanted and the confirmed grants that were found to agree.
     settled: Option<(u64, u64)>,
@@ -78,7 +73,7 @@
         }
     }
 
-    fn unconfirm(&mut self) {
+    pub(crate) fn unconfirm(&mut self) {
         self.confirmed.clear();
         self.revision += 1;
     }
@@ -102,7 +97,7 @@
         }
     }
 
-    fn is_instance(&self, instance: &str) -> bool {
+    pub(crate) fn is_instance(&self, instance: &str) -> bool {
         let accepted = self.accepted.as_ref();
         accepted.is_some_and(|accepted| accepted.instance == instance)
     }
@@ -300,76 +295,6 @@
         self.health.tick(now, was_paused, silence);
     }
 
-    /// Takes what a check-in says of the upstream. Returns `false` for one of an earlier life, or one that is older than
-    /// another that has been taken.
-    pub(crate) fn checked_in(&mut self, now: Duration, check_in: &CheckIn) -> bool {
-        let is_same = self.is_instance(&check_in.announcement.instance)
-            && self.born_unix_ms == check_in.born_unix_ms;
-        let is_older = if is_same {
-            check_in.sequence <= self.polled
-        } else {
-            self.accepted.is_some() && check_in.born_unix_ms <= self.born_unix_ms
-        };
-        if is_older {
-            return false;
-        }
-        if !is_same {
-            self.held.clear();
-            self.unconfirm();
-            self.health.replaced();
-            self.born_unix_ms = check_in.born_unix_ms;
-        }
-        self.accepted = Some(check_in.announcement.clone());
-        self.draining = check_in.draining;
-        self.polled = check_in.sequence;
-        self.health.announced(now);
-        self.note_held(&check_in.held);
-        true
-    }
-
-    /// Takes in what the upstream holds. What it was granted before and does not hold, it has released.
-    fn note_held(&mut self, held: &[UnitFence]) {
-        let reported: BTreeMap<Unit, Fence> = held
-            .iter()
-            .map(|held| (held.unit.clone(), held.fence))
-            .collect();
-        let before = self.confirmed.len();
-        self.confirmed
-            .retain(|unit, fence| reported.get(unit) == Some(fence));
-        if self.confirmed.len() != before {
-            self.revision += 1;
-        }
-        self.held = reported;
-    }
-
-    /// Answers the check-in that was taken last with all that the upstream is to hold.
-    pub(crate) fn poll(
-        &mut self,
-        now: Duration,
-        id: u64,
-        lease_end: Option<Duration>,
-        wanted: &Wanted,
-    ) -> CheckInAnswer {
-        let Some(end) = lease_end.filter(|end| *end > now) else {
-            self.unconfirm();
-            return CheckInAnswer::nothing(id);
-        };
-        let hold = (end - now).mul_f64(HOLD_PART).min(LONGEST_HOLD);
-        self.held_until = self.held_until.max(end);
-        if self.confirmed != wanted.units {
-            self.confirmed.clone_from(&wanted.units);
-            self.revision += 1;
-        }
-        let units = wanted.units.iter();
-        self.held
-            .extend(units.map(|(unit, fence)| (unit.clone(), *fence)));
-        CheckInAnswer {
-            granted: wanted.missing(&BTreeMap::new(), true),
-            hold: Some(hold),
-            id,
-        }
-    }
-
     /// Notes that a life of the upstream has ended or ends soon.
     pub(crate) fn left(&mut self, instance: &str) {
         if self.is_instance(instance) {
--- /dev/null
+++ b/crates/router/src/control/control_telemetry.rs
@@ -0,0 +1,56 @@
+//! What the control thread tells about itself.
+
+use std::time::Duration;
+
+use membership::Decision;
+use serde::Serialize;
+use telemetry::Dependency;
+use telemetry::LINE_TARGET;
+
+use crate::clock::unix_ms;
+use crate::control::Control;
+
+#[derive(Serialize)]
+struct DecisionLine<'a> {
+    time_unix_ms: u64,
+    vm: &'a str,
+    #[serde(flatten)]
+    decision: &'a Decision,
+}
+
+impl Control {
+    pub(super) fn report_gauges(&self) {
+        let (queued, running) = self.parts.home.counts();
+        let metrics = &self.parts.shared.metrics;
+        metrics.set("home_queued", queued as u64);
+        metrics.set("home_running", u64::from(running));
+        metrics.set("log_next", self.parts.agent.fleet().next());
+        metrics.set("units_serving", self.parts.agent.serving().len() as u64);
+        for dependency in [
+            Dependency::Log,
+            Dependency::LogWrites,
+            Dependency::Operators,
+            Dependency::Peer,
+            Dependency::Upstream,
+        ] {
+            let lost = self.parts.shared.count_lost(dependency) as u64;
+            metrics.set(&format!("lost_{}", dependency.as_str()), lost);
+        }
+    }
+
+    pub(super) fn log_decision(&self, decision: &Decision) {
+        let metrics = &self.parts.shared.metrics;
+        metrics.count("membership", decision.kind());
+        if let Decision::Took { wait_ms, .. } = decision {
+            metrics.time("takeover_wait", Duration::from_millis(*wait_ms));
+        }
+        let line = DecisionLine {
+            time_unix_ms: unix_ms(),
+            vm: &self.parts.shared.vm,
+            decision,
+        };
+        if let Ok(text) = serde_json::to_string(&line) {
+            log::info!(target: LINE_TARGET, "{text}");
+        }
+    }
+}
--- a/crates/router/src/control/control_thread.rs
+++ b/crates/router/src/control/control_thread.rs
@@ -15,12 +15,8 @@
 use membership::Agent;
 use membership::Announcement;
 use membership::CheckInAnswer;
-use membership::Decision;
 use membership::Event;
 use membership::Status;
-use serde::Serialize;
-use telemetry::Dependency;
-use telemetry::LINE_TARGET;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
@@ -28,7 +24,6 @@
 use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
 
-use crate::clock::unix_ms;
 use crate::control::Heard;
 use crate::control::Input;
 use crate::control::LogWriter;
@@ -58,14 +53,6 @@
 /// Time after which a record that was not read back is appended again.
 const APPEND_RETRY: Duration = Duration::from_millis(1_000);
 
-#[derive(Serialize)]
-struct DecisionLine<'a> {
-    time_unix_ms: u64,
-    vm: &'a str,
-    #[serde(flatten)]
-    decision: &'a Decision,
-}
-
 struct PendingAppend {
     read_back: oneshot::Sender<()>,
     record: Record,
@@ -93,7 +80,7 @@
     checking_in: BTreeMap<u64, oneshot::Sender<CheckInAnswer>>,
     fleet_copy: FleetCopy,
     loads: LoadExchange,
-    parts: ControlParts,
+    pub(super) parts: ControlParts,
     pending: BTreeMap<RecordId, PendingAppend>,
     ticks: u64,
 }
@@ -223,25 +210,6 @@
         ]
     }
 
-    fn report_gauges(&self) {
-        let (queued, running) = self.parts.home.counts();
-        let metrics = &self.parts.shared.metrics;
-        metrics.set("home_queued", queued as u64);
-        metrics.set("home_running", u64::from(running));
-        metrics.set("log_next", self.parts.agent.fleet().next());
-        metrics.set("units_serving", self.parts.agent.serving().len() as u64);
-        for dependency in [
-            Dependency::Log,
-            Dependency::LogWrites,
-            Dependency::Operators,
-            Dependency::Peer,
-            Dependency::Upstream,
-        ] {
-            let lost = self.parts.shared.count_lost(dependency) as u64;
-            metrics.set(&format!("lost_{}", dependency.as_str()), lost);
-        }
-    }
-
     fn repeat_appends(&mut self) {
         let now = self.parts.shared.clock.now();
         self.pending
@@ -353,22 +321,6 @@
         }
     }
 
-    fn log_decision(&self, decision: &Decision) {
-        let metrics = &self.parts.shared.metrics;
-        metrics.count("membership", decision.kind());
-        if let Decision::Took { wait_ms, .. } = decision {
-            metrics.time("takeover_wait", Duration::from_millis(*wait_ms));
-        }
-        let line = DecisionLine {
-            time_unix_ms: unix_ms(),
-            vm: &self.parts.shared.vm,
-            decision,
-        };
-        if let Ok(text) = serde_json::to_string(&line) {
-            log::info!(target: LINE_TARGET, "{text}");
-        }
-    }
-
     /// Publishes what traffic threads need to know, if it has changed.
     fn publish(&mut self) {
         let now = self.parts.shared.clock.now();
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread: membership, ownership and configuration.
 
+mod control_telemetry;
 mod control_thread;
 mod datagrams;
 mod fleet_copy;
