--- a/crates/router/src/control/control_telemetry.rs
+++ b/crates/router/src/control/control_telemetry.rs
@@ -24,6 +24,9 @@
         let metrics = &self.parts.shared.metrics;
         metrics.set("home_queued", queued as u64);
         metrics.set("home_running", u64::from(running));
+        let upstream = self.parts.home.upstream();
+        let connections = upstream.map_or(0, |upstream| upstream.client.connections());
+        metrics.set("upstream_connections", connections as u64);
         metrics.set("log_next", self.parts.agent.fleet().next());
         metrics.set("units_serving", self.parts.agent.serving().len() as u64);
         for dependency in [
--- a/crates/router/src/control/control_thread.rs
+++ b/crates/router/src/control/control_thread.rs
@@ -78,6 +78,8 @@
 pub(crate) struct Control {
     announced: Option<Announcement>,
     checking_in: BTreeMap<u64, oneshot::Sender<CheckInAnswer>>,
+    /// Units that are being handed over, with the time at which that began.
+    draining: BTreeMap<Unit, Duration>,
     fleet_copy: FleetCopy,
     loads: LoadExchange,
     pub(super) parts: ControlParts,
@@ -90,6 +92,7 @@
         Self {
             announced: None,
             checking_in: BTreeMap::new(),
+            draining: BTreeMap::new(),
             fleet_copy: FleetCopy::default(),
             loads: LoadExchange::default(),
             parts,
@@ -268,6 +271,16 @@
         if let Some(pending) = self.pending.remove(&record.id) {
             let _ = pending.read_back.send(());
         }
+        if let Body::Move { from, units, .. } = &record.body
+            && *from == self.parts.shared.vm
+        {
+            let now = self.parts.shared.clock.now();
+            let began = units.iter().map(|moved| self.draining.remove(&moved.unit));
+            if let Some(began) = began.flatten().min() {
+                let metrics = &self.parts.shared.metrics;
+                metrics.time("move", now.saturating_sub(began));
+            }
+        }
         if let Body::Move { to, units, .. } = &record.body
             && *to == self.parts.shared.vm
         {
@@ -281,6 +294,9 @@
             Action::Append(record) => self.append_for_agent(record),
             Action::Decide(decision) => self.log_decision(&decision),
             Action::Drain { units } => {
+                let now = self.parts.shared.clock.now();
+                self.draining
+                    .extend(units.iter().map(|unit| (unit.clone(), now)));
                 self.publish();
                 self.parts.home.drain(units);
             }
@@ -298,7 +314,10 @@
                 self.parts.datagrams.send_answer(answer, to)
             }
             Action::Stopped => self.parts.stopped.cancel(),
-            Action::Undrain { units } => self.parts.home.undrain(&units),
+            Action::Undrain { units } => {
+                self.draining.retain(|unit, _| !units.contains(unit));
+                self.parts.home.undrain(&units);
+            }
         }
     }
 
--- a/crates/router/src/entry/keyless_run.rs
+++ b/crates/router/src/entry/keyless_run.rs
@@ -165,6 +165,9 @@
             .with(&self.dispatch.service, |service| service.budget.try_spend());
         if budget_left {
             self.send_another(dispatched, Step::Hedged);
+        } else {
+            let metrics = &self.keyless.homes.shared.metrics;
+            metrics.count("extra-request", "out-of-budget");
         }
     }
 
--- a/crates/router/src/limits/meters.rs
+++ b/crates/router/src/limits/meters.rs
@@ -176,6 +176,12 @@
             let workspace = workspace.to_owned();
             tokio::spawn(async move {
                 let batch = meters.ask(&workspace, &ask).await;
+                let outcome = match &batch {
+                    Some(batch) if batch.tokens > 0 => "granted",
+                    Some(_) => "empty",
+                    None => "unanswered",
+                };
+                meters.shared.metrics.count("tokens", outcome);
                 meters.answered(&workspace, ask.id, batch.as_ref());
             });
         }
--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -93,6 +93,12 @@
             .ok()
             .flatten()
             .and_then(|answer| self.grants(&service, &held, &answer));
+        let outcome = if grants.is_some() {
+            "granted"
+        } else {
+            "nothing"
+        };
+        self.shared.metrics.count("check-in", outcome);
         self.environment.answer_report(grants.as_ref())
     }
 
--- a/crates/upstream/src/upstream_client.rs
+++ b/crates/upstream/src/upstream_client.rs
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Returns the number of connections that are open or being opened.
+    pub fn connections(&self) -> usize {
+        let most = self.shared.settings.connections;
+        let most = most.saturating_sub(CONTROL_CONNECTIONS).max(1);
+        most.saturating_sub(self.shared.sockets.available_permits())
+    }
+
     /// Runs a request. When the future is dropped, the connection closes and the request is cancelled.
     ///
     /// # Errors
