Serve manifests with uploads, unknown kinds and unreadable rows

Ruled out: skipping rows of an unknown kind. Their requests would be answered with 404, or by the route of a shorter prefix.

Change: `upload` is a field of routes in the product's documents, with a limit of its own on bodies (`limits.upload_bytes`). A route that cannot be read is kept by host and prefix, and its requests are refused as not run. A process without any configuration answers 503 with Retry-After. What is invalid shows in status, metrics and `explain`.

The new test with uploads then failed on a fault of `httpd`: bytes of a body that arrived in the same read as the head counted as headers, so that the second large body on a kept connection was cut off without an answer. Reads are now bounded by the bytes that complete headers may still have.

--- a/crates/bench/src/placement_simulation.rs
+++ b/crates/bench/src/placement_simulation.rs
@@ -316,6 +316,7 @@
 pub(crate) fn keyed_service(shards: u32) -> Service {
     let route = Route {
         idempotent: true,
+        upload: false,
         methods: ["GET".to_owned()].into(),
         open: false,
         prefix: "/".to_owned(),
--- a/crates/cluster/src/fleet.rs
+++ b/crates/cluster/src/fleet.rs
@@ -124,6 +124,11 @@
         self.configuration.revision
     }
 
+    /// Reports whether any configuration with routes has been published.
+    pub fn is_configured(&self) -> bool {
+        self.plans_version() > 0
+    }
+
     /// Returns the offset of the publication of the plans in force, or 0 if there is none.
     pub fn plans_version(&self) -> Offset {
         self.configuration.plans_version
--- a/crates/config/src/host_route.rs
+++ b/crates/config/src/host_route.rs
@@ -28,6 +28,9 @@
     pub targets: Vec<WeightedTarget>,
     /// Longest time that a caller waits, in milliseconds.
     pub timeout_ms: u64,
+    /// Whether requests upload large bodies. An upload runs at most once.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub upload: bool,
 }
 
 /// A service with its share of the requests of a route.
--- a/crates/config/src/plans.rs
+++ b/crates/config/src/plans.rs
@@ -1,6 +1,7 @@
 //! Document that declares services and plans.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use ids::ServiceId;
 use serde::Deserialize;
@@ -8,10 +9,12 @@
 
 use crate::DocumentError;
 use crate::HostRoute;
+use crate::HostRouteMatch;
 use crate::Plan;
 use crate::Service;
 use crate::check::check_name;
 use crate::parse::parse;
+use crate::route::check_upload;
 
 /// Every plan and every service that a plan can grant.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -27,6 +30,9 @@
     /// Services by name.
     #[serde(deserialize_with = "crate::unique::map")]
     pub services: BTreeMap<ServiceId, Service>,
+    /// Path prefixes by host of routes that are declared but could not be read. Their requests are refused as not run.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub unreadable_routes: BTreeMap<String, BTreeSet<String>>,
 }
 
 impl Plans {
@@ -51,7 +57,7 @@
             let path = format!("services.{name}");
             check_name(&path, name)?;
             service.check(&path)?;
-            if service.routes.is_empty() && self.hosts.is_empty() {
+            if service.routes.is_empty() && !self.routes_by_host() {
                 return Err(DocumentError::value(
                     format!("{path}.routes"),
                     "the list is empty",
@@ -68,13 +74,26 @@
         Ok(())
     }
 
+    /// Reports whether requests are routed by host.
+    pub fn routes_by_host(&self) -> bool {
+        !self.hosts.is_empty() || !self.unreadable_routes.is_empty()
+    }
+
     /// Returns the route of a host with the longest prefix of `path`.
-    pub fn host_route(&self, host: &str, path: &str) -> Option<&HostRoute> {
-        self.hosts
-            .get(host)?
-            .iter()
-            .filter(|route| path.starts_with(&route.prefix))
-            .max_by_key(|route| route.prefix.len())
+    pub fn host_route(&self, host: &str, path: &str) -> HostRouteMatch<'_> {
+        let routes = self.hosts.get(host).into_iter().flatten();
+        let routes = routes.filter(|route| path.starts_with(&route.prefix));
+        let route = routes.max_by_key(|route| route.prefix.len());
+        let unreadable = self.unreadable_routes.get(host).into_iter().flatten();
+        let unreadable = unreadable.filter(|prefix| path.starts_with(prefix.as_str()));
+        match (route, unreadable.map(String::len).max()) {
+            (Some(route), None) => HostRouteMatch::Found(route),
+            (Some(route), Some(length)) if route.prefix.len() > length => {
+                HostRouteMatch::Found(route)
+            }
+            (_, Some(_)) => HostRouteMatch::Unreadable,
+            (None, None) => HostRouteMatch::Absent,
+        }
     }
 
     fn check_hosts(&self) -> Result<(), DocumentError> {
@@ -101,6 +120,7 @@
                 "choose at least 1",
             ));
         }
+        check_upload(&format!("{path}.upload"), route.upload, route.idempotent)?;
         let total: u64 = route
             .targets
             .iter()
--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -24,6 +24,25 @@
     pub open: bool,
     /// Prefix of the paths that the route matches, after the name of the service.
     pub prefix: String,
+    /// Whether requests upload large bodies. An upload runs at most once.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub upload: bool,
+}
+
+/// Rejects an upload that may run more than once.
+pub(crate) fn check_upload(
+    path: &str,
+    upload: bool,
+    idempotent: bool,
+) -> Result<(), DocumentError> {
+    if upload && idempotent {
+        return Err(DocumentError::value(
+            path,
+            "an upload runs at most once, but the route is idempotent",
+            "set `idempotent` or `upload` to false",
+        ));
+    }
+    Ok(())
 }
 
 impl Route {
@@ -38,7 +57,8 @@
 
     pub(crate) fn check(&self, path: &str) -> Result<(), DocumentError> {
         self.check_prefix(&format!("{path}.prefix"))?;
-        self.check_methods(&format!("{path}.methods"))
+        self.check_methods(&format!("{path}.methods"))?;
+        check_upload(&format!("{path}.upload"), self.upload, self.idempotent)
     }
 
     fn check_prefix(&self, path: &str) -> Result<(), DocumentError> {
--- a/crates/config/tests/manifest.rs
+++ b/crates/config/tests/manifest.rs
@@ -1,6 +1,7 @@
 //! Checks routes by host, ranges of numeric keys and the errors of invalid manifests.
 
 use config::HostRoute;
+use config::HostRouteMatch;
 use config::KeyRange;
 use config::Manifest;
 use config::Plans;
@@ -21,6 +22,7 @@
         name: prefix.to_owned(),
         attempts: 2,
         idempotent: true,
+        upload: false,
         open: false,
         prefix: prefix.to_owned(),
         priority: 1,
@@ -49,9 +51,9 @@
 fn the_longest_prefix_of_a_host_applies() {
     let routes = vec![route("/a/", "orders", 1), route("/a/b/", "orders", 1)];
     let plans = manifest(1, routes).plans;
-    let prefix = |host: &str, path: &str| {
-        let route = plans.host_route(host, path);
-        route.map(|route| route.prefix.clone())
+    let prefix = |host: &str, path: &str| match plans.host_route(host, path) {
+        HostRouteMatch::Found(route) => Some(route.prefix.clone()),
+        HostRouteMatch::Absent | HostRouteMatch::Unreadable => None,
     };
     assert_eq!(prefix("app.example", "/a/b/c"), Some("/a/b/".to_owned()));
     assert_eq!(prefix("app.example", "/a/bc"), Some("/a/".to_owned()));
--- a/crates/httpd/src/connection.rs
+++ b/crates/httpd/src/connection.rs
@@ -44,6 +44,8 @@
     let io = LimitedStream::new(stream, context.state.clone(), &limits);
     let service = service_fn(|req| {
         let context = context.clone();
+        // Before the request is handled, since hyper may already read its body.
+        context.state.begin_exchange();
         Box::pin(async move { Ok::<_, Infallible>(context.handle(req).await) })
     });
     let mut conn = http1::Builder::new()
@@ -86,12 +88,11 @@
 
 /// Returns the reason to send to the client of a failed connection, if a limit on its headers was exceeded.
 fn refusal_reason<H: Handler>(context: &ConnectionContext<H>) -> Option<RefusalReason> {
-    let header_bytes = context.state.header_bytes();
-    let limit_bytes = context.limits.header_bytes;
-    if header_bytes > limit_bytes {
+    if context.state.are_headers_too_large() {
+        let limit_bytes = context.limits.header_bytes;
         return Some(RefusalReason::HeadersTooLarge { limit_bytes });
     }
-    if context.state.is_header_timed_out() && header_bytes > 0 {
+    if context.state.is_header_timed_out() && context.state.header_bytes() > 0 {
         let limit_ms = context.limits.header_timeout.as_millis() as u64;
         return Some(RefusalReason::Timeout { limit_ms });
     }
--- a/crates/httpd/src/connection_context.rs
+++ b/crates/httpd/src/connection_context.rs
@@ -34,7 +34,6 @@
 impl<H: Handler> ConnectionContext<H> {
     /// Reads a complete request and answers it.
     pub(crate) async fn handle(&self, req: Request<Incoming>) -> Response<AnswerBody> {
-        self.state.begin_exchange();
         let mut reservation = ByteReservation::new(self.held_bytes.clone());
         let mut res = match self.read_request(req, &mut reservation).await {
             Ok(req) => self.handler.handle(req).await,
--- a/crates/httpd/src/connection_state.rs
+++ b/crates/httpd/src/connection_state.rs
@@ -7,6 +7,7 @@
 /// Tracks whether a connection is reading a request's headers, and how many bytes of them have arrived.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionState {
+    are_headers_too_large: AtomicBool,
     has_served: AtomicBool,
     header_bytes: AtomicUsize,
     is_answering: AtomicBool,
@@ -44,15 +45,28 @@
         self.is_header_timed_out.load(Ordering::Relaxed)
     }
 
-    /// Adds bytes that have arrived, and returns the number that belong to incomplete headers.
-    pub(crate) fn add_received(&self, bytes: usize) -> usize {
-        if self.is_answering.load(Ordering::Relaxed) {
-            return 0;
-        }
-        self.header_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes
+    /// Returns the number of bytes of incomplete headers that have arrived, or `None` while a request is answered.
+    pub(crate) fn incomplete_header_bytes(&self) -> Option<usize> {
+        let is_answering = self.is_answering.load(Ordering::Relaxed);
+        (!is_answering).then(|| self.header_bytes())
     }
 
-    /// Returns the number of bytes of incomplete headers that have arrived.
+    /// Adds bytes that have arrived while headers are incomplete.
+    pub(crate) fn add_header_bytes(&self, bytes: usize) {
+        self.header_bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Records that headers are incomplete at their size limit.
+    pub(crate) fn set_headers_too_large(&self) {
+        self.are_headers_too_large.store(true, Ordering::Relaxed);
+    }
+
+    /// Reports whether headers are incomplete at their size limit.
+    pub(crate) fn are_headers_too_large(&self) -> bool {
+        self.are_headers_too_large.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of bytes that have arrived since the last answer.
     pub(crate) fn header_bytes(&self) -> usize {
         self.header_bytes.load(Ordering::Relaxed)
     }
--- a/crates/httpd/src/limited_stream.rs
+++ b/crates/httpd/src/limited_stream.rs
@@ -80,15 +80,24 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        match Pin::new(&mut self.stream).poll_read(cx, buf) {
+        let Some(header_bytes) = self.state.incomplete_header_bytes() else {
+            return Pin::new(&mut self.stream).poll_read(cx, buf);
+        };
+        let remaining = self.max_header_bytes.saturating_sub(header_bytes);
+        if remaining == 0 {
+            self.state.set_headers_too_large();
+            return Poll::Ready(Err(ErrorKind::FileTooLarge.into()));
+        }
+        // Reads no more than complete headers may hold, so that the bytes of a body never count as headers.
+        let length = remaining.min(buf.remaining());
+        let mut headers = ReadBuf::new(buf.initialize_unfilled_to(length));
+        match Pin::new(&mut self.stream).poll_read(cx, &mut headers) {
             Poll::Pending => return self.poll_header_timeout(cx),
             Poll::Ready(read) => read?,
         }
-        let received = buf.filled().len() - before;
-        if self.state.add_received(received) > self.max_header_bytes {
-            return Poll::Ready(Err(ErrorKind::FileTooLarge.into()));
-        }
+        let received = headers.filled().len();
+        buf.advance(received);
+        self.state.add_header_bytes(received);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/httpd/tests/httpd/bounds.rs
+++ b/crates/httpd/tests/httpd/bounds.rs
@@ -212,3 +212,40 @@
         tokio::time::sleep(2 * SHORT_TIMEOUT).await;
     }
 }
+
+#[tokio::test]
+async fn a_large_body_that_arrives_with_its_headers_does_not_count_as_headers() {
+    const BODY_BYTES: usize = 64 << 10;
+    const REQUESTS: usize = 4;
+    let limits = Limits {
+        body_bytes: BODY_BYTES,
+        ..limits()
+    };
+    let server = Server::start(limits).await;
+    let mut stream = server.connect().await;
+    let head = format!("POST / HTTP/1.1\r\ncontent-length: {BODY_BYTES}\r\n\r\n");
+    let mut req = head.into_bytes();
+    req.resize(req.len() + BODY_BYTES, b'x');
+    for request in 0..REQUESTS {
+        let (mut rx, mut tx) = stream.split();
+        let mut answer = Vec::new();
+        let reading = async {
+            let mut buf = vec![0; BODY_BYTES];
+            while answer.len() < BODY_BYTES {
+                match rx.read(&mut buf).await {
+                    Ok(count) if count > 0 => answer.extend_from_slice(&buf[..count]),
+                    _ => break,
+                }
+            }
+        };
+        let (written, ()) = tokio::join!(tx.write_all(&req), reading);
+        written.unwrap();
+        let answer = String::from_utf8_lossy(&answer);
+        let status = answer.lines().next().unwrap_or_default();
+        assert_eq!(status, "HTTP/1.1 200 OK", "request {request}");
+        // The rest of the answer, whose length depends on its headers.
+        let rest = answer.find("\r\n\r\n").unwrap() + 4 + BODY_BYTES - answer.len();
+        let mut rest = vec![0; rest];
+        stream.read_exact(&mut rest).await.unwrap();
+    }
+}
--- a/crates/policy/src/reason.rs
+++ b/crates/policy/src/reason.rs
@@ -71,6 +71,8 @@
     Stopping = "stopping",
     /// The request carries no known tenant key.
     Unauthenticated = "unauthenticated",
+    /// The process has no configuration yet, or could not read the route that matches the request.
+    Unconfigured = "unconfigured",
     /// The process cannot know which configuration is in force.
     Uninformed = "uninformed",
     /// No route matches the request.
@@ -108,6 +110,7 @@
             | Self::OwnerUnreachable
             | Self::Shed
             | Self::Stopping
+            | Self::Unconfigured
             | Self::Uninformed
             | Self::UpstreamCrashed
             | Self::UpstreamSilent => false,
--- a/crates/policy/src/received_request.rs
+++ b/crates/policy/src/received_request.rs
@@ -9,6 +9,9 @@
 use crate::Refusal;
 use crate::RequestHead;
 
+/// Time after which a caller should retry a request that was refused for lack of a configuration.
+const CONFIGURATION_RETRY_DELAY: Duration = Duration::from_millis(250);
+
 /// Request that has been read and not yet authenticated.
 #[derive(Debug)]
 pub struct ReceivedRequest {
@@ -21,9 +24,10 @@
         Self { head }
     }
 
-    /// Refuses, as not run, a request whose head cannot be read.
+    /// Refuses, as not run, a request whose head cannot be read or whose route is not known.
     pub fn refuse_unreadable(reason: Reason) -> Refusal {
-        Refusal::not_run(reason, None)
+        let is_unconfigured = matches!(reason, Reason::Unconfigured | Reason::Uninformed);
+        Refusal::not_run(reason, is_unconfigured.then_some(CONFIGURATION_RETRY_DELAY))
     }
 
     /// Returns the head of the request.
--- a/crates/router/src/entry/caller_request.rs
+++ b/crates/router/src/entry/caller_request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use config::HostRouteMatch;
 use config::Plans;
 use config::Service;
 use http::HeaderMap;
@@ -72,12 +73,15 @@
         let (head, body) = req.into_parts();
         let dialect = &shared.dialect;
         let path_and_query = head.uri.path_and_query().ok_or(Reason::UnknownRoute)?;
-        let matched = if plans.hosts.is_empty() {
-            match_by_service(plans, head.method.as_str(), path_and_query.as_str())?
-        } else {
+        let matched = if plans.routes_by_host() {
             let host = host(&head).ok_or(Reason::UnknownRoute)?;
             match_by_host(plans, &host, path_and_query, traffic_splits)?
+        } else {
+            match_by_service(plans, head.method.as_str(), path_and_query.as_str())?
         };
+        if !matched.is_upload && body.len() as u64 > shared.limits.body_bytes {
+            return Err(Reason::BodyTooLarge);
+        }
         let service_config = plans.services.get(&matched.service);
         let service_config = service_config.ok_or(Reason::UnknownRoute)?;
         let key = header(&head.headers, &dialect.key)?;
@@ -181,6 +185,8 @@
 /// Settings of the route that a request matches, with the path that the upstream gets.
 struct MatchedRoute {
     idempotent: bool,
+    /// Whether the request uploads a large body.
+    is_upload: bool,
     max_attempts: Option<u32>,
     open: bool,
     path_and_query: String,
@@ -204,6 +210,7 @@
         .ok_or(Reason::UnknownRoute)?;
     Ok(MatchedRoute {
         idempotent: route.idempotent,
+        is_upload: route.upload,
         max_attempts: None,
         open: route.open,
         path_and_query: rest.to_owned(),
@@ -221,13 +228,17 @@
     path_and_query: &PathAndQuery,
     traffic_splits: &TrafficSplits,
 ) -> Result<MatchedRoute, Reason> {
-    let route = plans.host_route(host, path_and_query.path());
-    let route = route.ok_or(Reason::UnknownRoute)?;
+    let route = match plans.host_route(host, path_and_query.path()) {
+        HostRouteMatch::Absent => return Err(Reason::UnknownRoute),
+        HostRouteMatch::Found(route) => route,
+        HostRouteMatch::Unreadable => return Err(Reason::Unconfigured),
+    };
     let service = traffic_splits
         .next_service(host, route)
         .ok_or(Reason::UnknownRoute)?;
     Ok(MatchedRoute {
         idempotent: route.idempotent,
+        is_upload: route.upload,
         max_attempts: Some(route.attempts),
         open: route.open,
         path_and_query: path_and_query.as_str().to_owned(),
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -40,6 +40,7 @@
 use crate::limits::WorkspaceLimiters;
 use crate::quarantine::suspicion_level;
 use crate::shared::Shared;
+use crate::view::View;
 
 /// Weight of requests on open routes in the queue of a busy upstream.
 const OPEN_ROUTE_WEIGHT: u32 = 1;
@@ -99,7 +100,7 @@
     ) -> Result<Answer, Refusal> {
         let view = self.shared.view();
         let now = self.shared.clock.now();
-        if let Some(reason) = self.unavailable_reason(view.is_informed) {
+        if let Some(reason) = self.unavailable_reason(&view) {
             return Err(ReceivedRequest::refuse_unreadable(reason));
         }
         let request =
@@ -179,11 +180,16 @@
         self.refusals.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn unavailable_reason(&self, is_informed: bool) -> Option<Reason> {
+    fn unavailable_reason(&self, view: &View) -> Option<Reason> {
         if self.shared.is_stopping() {
-            return Some(Reason::Stopping);
+            Some(Reason::Stopping)
+        } else if !view.is_informed {
+            Some(Reason::Uninformed)
+        } else if !view.fleet.is_configured() {
+            Some(Reason::Unconfigured)
+        } else {
+            None
         }
-        (!is_informed).then_some(Reason::Uninformed)
     }
 
     /// Checks that the plan of the workspace grants the service, and that the idempotency key is valid.
--- a/crates/router/src/entry/responses.rs
+++ b/crates/router/src/entry/responses.rs
@@ -181,6 +181,7 @@
         | Reason::Quarantined
         | Reason::Shed
         | Reason::Stopping
+        | Reason::Unconfigured
         | Reason::Uninformed => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
@@ -225,6 +226,9 @@
         Reason::Unauthenticated => {
             "the tenant key is missing or unknown: send `authorization: Bearer KEY`"
         }
+        Reason::Unconfigured => {
+            "this process has no configuration for the request yet: send the request again"
+        }
         Reason::Uninformed => {
             "this process cannot learn the configuration in force: send the request to another VM"
         }
--- a/crates/router/src/environment/declaration_sink.rs
+++ b/crates/router/src/environment/declaration_sink.rs
@@ -26,6 +26,15 @@
         self.control.send_event(Event::Declared(declarations));
     }
 
+    /// Records the problems of the newest operator declarations, none if they are valid. What could not be read of them
+    /// has no effect.
+    pub fn report_invalid(&self, problems: Vec<String>) {
+        for problem in &problems {
+            log::warn!("invalid operator declaration, correct and publish it again: {problem}");
+        }
+        self.shared.record_invalid_declarations(problems);
+    }
+
     /// Records that operator declarations can be read.
     pub fn report_readable(&self) {
         self.shared
--- a/crates/router/src/operator/operator_service.rs
+++ b/crates/router/src/operator/operator_service.rs
@@ -73,8 +73,7 @@
     /// Reports whether callers should send new requests to this process.
     fn ready(&self) -> Response<Bytes> {
         let view = self.shared.view();
-        let is_ready =
-            view.is_informed && view.fleet.plans_version() > 0 && !self.shared.is_stopping();
+        let is_ready = view.is_informed && view.fleet.is_configured() && !self.shared.is_stopping();
         let status = if is_ready {
             StatusCode::OK
         } else {
@@ -141,6 +140,7 @@
         let (queued, running) = self.home.count_requests();
         ProcessReport {
             control_traffic: self.shared.control_traffic.report(),
+            invalid_declarations: self.shared.invalid_declarations(),
             membership: Arc::unwrap_or_clone(Arc::clone(&view.status)),
             queued,
             running,
--- a/crates/router/src/operator/process_report.rs
+++ b/crates/router/src/operator/process_report.rs
@@ -10,6 +10,8 @@
 #[derive(Debug, Serialize)]
 pub(crate) struct ProcessReport {
     pub(crate) control_traffic: ControlTrafficReport,
+    /// Problems of the newest operator declarations.
+    pub(crate) invalid_declarations: Vec<String>,
     pub(crate) membership: Status,
     pub(crate) queued: usize,
     pub(crate) running: u32,
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -326,7 +326,7 @@
     let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
     let limits = &settings.limits;
     httpd::Limits {
-        body_bytes: size(limits.body_bytes),
+        body_bytes: size(limits.upload_bytes),
         connections: size(limits.caller_connections),
         header_bytes: size(limits.header_bytes),
         header_timeout: limits.header_timeout(),
--- a/crates/router/src/settings/limits.rs
+++ b/crates/router/src/settings/limits.rs
@@ -13,7 +13,7 @@
 pub struct Limits {
     /// Maximum size of an upstream's answer, in bytes.
     pub answer_bytes: u64,
-    /// Maximum size of the body of a caller's request, in bytes.
+    /// Maximum size of the body of a caller's request that is not an upload, in bytes.
     pub body_bytes: u64,
     /// Maximum number of open connections of callers.
     pub caller_connections: u64,
@@ -39,6 +39,8 @@
     pub stop_timeout_ms: u64,
     /// Number of threads that handle traffic.
     pub traffic_threads: u64,
+    /// Maximum size of the body of an upload, in bytes, at least `body_bytes`.
+    pub upload_bytes: u64,
     /// Maximum time that an upstream takes to warm up, in milliseconds.
     pub warm_up_ms: u64,
 }
@@ -60,6 +62,7 @@
             request_timeout_ms: 15_000,
             stop_timeout_ms: 30_000,
             traffic_threads: 2,
+            upload_bytes: 2 << 20,
             warm_up_ms: 2_000,
         }
     }
@@ -102,6 +105,12 @@
             ),
             ("limits.stop_timeout_ms", self.stop_timeout_ms, 100, 600_000),
             ("limits.traffic_threads", self.traffic_threads, 1, 64),
+            (
+                "limits.upload_bytes",
+                self.upload_bytes,
+                self.body_bytes,
+                3 << 20,
+            ),
             ("limits.warm_up_ms", self.warm_up_ms, 1, 600_000),
         ];
         for (field, value, lowest, highest) in ranges {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,6 +1,9 @@
 //! State that all threads of the process share.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -49,6 +52,8 @@
     pub(crate) dialect: Arc<Dialect>,
     pub(crate) lease: Lease,
     pub(crate) limits: Limits,
+    /// Problems of the newest operator declarations.
+    invalid_declarations: Mutex<Vec<String>>,
     /// Time on the process clock at which the log, or a peer in its place, last answered a read, in milliseconds.
     last_log_read_ms: AtomicU64,
     pub(crate) metrics: Metrics,
@@ -88,6 +93,7 @@
             ),
             dependencies: DependencyTracker::default(),
             dialect: Arc::new(dialect),
+            invalid_declarations: Mutex::default(),
             lease: Lease::default(),
             limits: settings.limits.clone(),
             last_log_read_ms: AtomicU64::new(0),
@@ -166,6 +172,34 @@
         self.last_log_read_ms.store(now, Ordering::Relaxed);
     }
 
+    /// Replaces the problems of the newest operator declarations, and logs them if they have changed.
+    pub(crate) fn record_invalid_declarations(&self, problems: Vec<String>) {
+        let mut current = self.lock_invalid_declarations();
+        if *current == problems {
+            return;
+        }
+        let event = if problems.is_empty() {
+            ProcessEvent::DeclarationsAccepted
+        } else {
+            self.metrics.count_event("declarations", "invalid");
+            let problem = problems.join("; ");
+            ProcessEvent::DeclarationsInvalid { problem }
+        };
+        *current = problems;
+        drop(current);
+        self.log_event(event);
+    }
+
+    /// Returns the problems of the newest operator declarations.
+    pub(crate) fn invalid_declarations(&self) -> Vec<String> {
+        self.lock_invalid_declarations().clone()
+    }
+
+    fn lock_invalid_declarations(&self) -> MutexGuard<'_, Vec<String>> {
+        let problems = self.invalid_declarations.lock();
+        problems.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Logs an event of the process.
     pub(crate) fn log_event(&self, event: ProcessEvent) {
         let line = EventLine {
--- a/crates/skylarkctl/src/explain/process_problems.rs
+++ b/crates/skylarkctl/src/explain/process_problems.rs
@@ -25,6 +25,8 @@
 struct VmProblems {
     /// Time at which each condition of [`MEMBERSHIP_PROBLEMS`] began.
     by_membership: BTreeMap<&'static str, u64>,
+    /// Time since which operator declarations are invalid, and the problem.
+    invalid_declarations: Option<(u64, String)>,
     /// Time at which each dependency was lost, and the problem that was observed.
     lost_dependencies: BTreeMap<(Dependency, String), (u64, String)>,
     stopping_since: Option<u64>,
@@ -62,6 +64,10 @@
         for (what, at) in &vm.by_membership {
             problems.push(format!("{what} for {} ms", since(*at)));
         }
+        if let Some((at, problem)) = &vm.invalid_declarations {
+            let for_ms = since(*at);
+            problems.push(format!("declarations invalid for {for_ms} ms ({problem})"));
+        }
         if let Some(at) = vm.stopping_since {
             problems.push(format!("stopping for {} ms", since(at)));
         }
@@ -72,6 +78,10 @@
 impl VmProblems {
     fn record_event(&mut self, at: u64, event: &ProcessEvent) {
         match event {
+            ProcessEvent::DeclarationsAccepted => self.invalid_declarations = None,
+            ProcessEvent::DeclarationsInvalid { problem } => {
+                self.invalid_declarations = Some((at, problem.clone()));
+            }
             ProcessEvent::DependencyLost {
                 dependency,
                 name,
--- a/crates/standin/src/processes/documents.rs
+++ b/crates/standin/src/processes/documents.rs
@@ -76,6 +76,7 @@
         methods: BTreeSet::from([method.to_owned()]),
         open,
         prefix: prefix.to_owned(),
+        upload: false,
     };
     Service {
         routes: vec![
--- a/crates/telemetry/src/process_event.rs
+++ b/crates/telemetry/src/process_event.rs
@@ -9,6 +9,13 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "event")]
 pub enum ProcessEvent {
+    /// The newest operator declarations are valid, after others that were not.
+    DeclarationsAccepted,
+    /// The newest operator declarations are invalid in part or as a whole. What is invalid has no effect.
+    DeclarationsInvalid {
+        /// What is invalid, and why.
+        problem: String,
+    },
     /// A dependency of the process stopped answering.
     DependencyLost {
         /// Kind of the dependency.
