Bind the start of a request to the unit that owns its key now

Cause: a request that waited under its shard started although its key had been pinned and moved in the meantime.

Change: `GrantedUnit` alone lets a request start. It is created from the view at that moment: the unit that owns the key, served under the fence that the request was sent for. Requests that wait for a unit that leaves are refused as not run at once, and their entries send them to the new owner. Queues remove requests by one function. A refusal for lack of a configuration is final at its entry.

--- a/crates/policy/src/fair_queue.rs
+++ b/crates/policy/src/fair_queue.rs
@@ -133,18 +133,6 @@
             self.queues.remove(&workspace);
         }
     }
-
-    fn remove_matching(
-        &mut self,
-        matches: impl Fn(&QueuedRequest<T>) -> bool,
-    ) -> Vec<QueuedRequest<T>> {
-        let queues = self.queues.values_mut();
-        let taken: Vec<_> = queues
-            .flat_map(|queue| queue.remove_matching(&matches))
-            .collect();
-        self.len -= taken.len();
-        taken
-    }
 }
 
 impl<T: Debug> Queue for FairQueue<T> {
@@ -191,14 +179,18 @@
     }
 
     fn remove(&mut self, id: &str) -> Option<QueuedRequest<T>> {
-        self.remove_matching(|request| request.id == id).pop()
+        self.take_matching(&|request| request.id == id).pop()
     }
 
-    fn remove_workspace(&mut self, workspace: &str) -> Vec<QueuedRequest<T>> {
-        self.remove_matching(|request| request.workspace == workspace)
-    }
-
-    fn take_expired(&mut self, now: Duration) -> Vec<QueuedRequest<T>> {
-        self.remove_matching(|request| now >= request.deadline)
+    fn take_matching(
+        &mut self,
+        matches: &dyn Fn(&QueuedRequest<T>) -> bool,
+    ) -> Vec<QueuedRequest<T>> {
+        let queues = self.queues.values_mut();
+        let taken: Vec<_> = queues
+            .flat_map(|queue| queue.remove_matching(matches))
+            .collect();
+        self.len -= taken.len();
+        taken
     }
 }
--- a/crates/policy/src/fifo_queue.rs
+++ b/crates/policy/src/fifo_queue.rs
@@ -24,15 +24,6 @@
             total,
         }
     }
-
-    fn remove_matching(
-        &mut self,
-        matches: impl Fn(&QueuedRequest<T>) -> bool,
-    ) -> Vec<QueuedRequest<T>> {
-        let (taken, kept) = self.queue.drain(..).partition(matches);
-        self.queue = kept;
-        VecDeque::into(taken)
-    }
 }
 
 impl<T: Debug> Queue for FifoQueue<T> {
@@ -72,11 +63,12 @@
         self.queue.remove(index)
     }
 
-    fn remove_workspace(&mut self, workspace: &str) -> Vec<QueuedRequest<T>> {
-        self.remove_matching(|request| request.workspace == workspace)
-    }
-
-    fn take_expired(&mut self, now: Duration) -> Vec<QueuedRequest<T>> {
-        self.remove_matching(|request| now >= request.deadline)
+    fn take_matching(
+        &mut self,
+        matches: &dyn Fn(&QueuedRequest<T>) -> bool,
+    ) -> Vec<QueuedRequest<T>> {
+        let (taken, kept) = self.queue.drain(..).partition(matches);
+        self.queue = kept;
+        VecDeque::into(taken)
     }
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -35,8 +35,18 @@
     fn remove(&mut self, id: &str) -> Option<QueuedRequest<Self::Item>>;
 
     /// Removes all requests of a workspace, for example when its access ends.
-    fn remove_workspace(&mut self, workspace: &str) -> Vec<QueuedRequest<Self::Item>>;
+    fn remove_workspace(&mut self, workspace: &str) -> Vec<QueuedRequest<Self::Item>> {
+        self.take_matching(&|request| request.workspace == workspace)
+    }
 
     /// Removes all requests whose deadline has passed.
-    fn take_expired(&mut self, now: Duration) -> Vec<QueuedRequest<Self::Item>>;
+    fn take_expired(&mut self, now: Duration) -> Vec<QueuedRequest<Self::Item>> {
+        self.take_matching(&|request| now >= request.deadline)
+    }
+
+    /// Removes all requests for which `matches` returns true.
+    fn take_matching(
+        &mut self,
+        matches: &dyn Fn(&QueuedRequest<Self::Item>) -> bool,
+    ) -> Vec<QueuedRequest<Self::Item>>;
 }
--- a/crates/policy/src/ranked_queue.rs
+++ b/crates/policy/src/ranked_queue.rs
@@ -35,24 +35,6 @@
         }
     }
 
-    fn remove_matching(
-        &mut self,
-        matches: impl Fn(&QueuedRequest<T>) -> bool,
-    ) -> Vec<QueuedRequest<T>> {
-        let mut taken = Vec::new();
-        for queue in self.queues.values_mut() {
-            for (number, request) in std::mem::take(queue) {
-                if matches(&request) {
-                    taken.push(request);
-                } else {
-                    queue.push_back((number, request));
-                }
-            }
-        }
-        self.remove_empty_queues();
-        taken
-    }
-
     fn remove_empty_queues(&mut self) {
         self.queues.retain(|_, queue| !queue.is_empty());
     }
@@ -111,17 +93,24 @@
     }
 
     fn remove(&mut self, id: &str) -> Option<QueuedRequest<T>> {
-        self.remove_matching(|request| request.id == id).pop()
+        self.take_matching(&|request| request.id == id).pop()
     }
 
-    fn remove_workspace(&mut self, workspace: &str) -> Vec<QueuedRequest<T>> {
-        self.remove_matching(|request| request.workspace == workspace)
-    }
-
-    fn take_expired(&mut self, now: Duration) -> Vec<QueuedRequest<T>> {
-        if self.queues.is_empty() {
-            return Vec::new();
+    fn take_matching(
+        &mut self,
+        matches: &dyn Fn(&QueuedRequest<T>) -> bool,
+    ) -> Vec<QueuedRequest<T>> {
+        let mut taken = Vec::new();
+        for queue in self.queues.values_mut() {
+            for (number, request) in std::mem::take(queue) {
+                if matches(&request) {
+                    taken.push(request);
+                } else {
+                    queue.push_back((number, request));
+                }
+            }
         }
-        self.remove_matching(|request| now >= request.deadline)
+        self.remove_empty_queues();
+        taken
     }
 }
--- a/crates/policy/src/retry_policy.rs
+++ b/crates/policy/src/retry_policy.rs
@@ -66,5 +66,6 @@
 
 /// Reports whether a retry cannot change the refusal, or is not allowed.
 fn is_final(reason: Reason) -> bool {
-    reason.is_caused_by_request() || matches!(reason, Reason::Uninformed | Reason::UpstreamCrashed)
+    let needs_another_entry = matches!(reason, Reason::Unconfigured | Reason::Uninformed);
+    reason.is_caused_by_request() || needs_another_entry || reason == Reason::UpstreamCrashed
 }
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -89,6 +89,7 @@
                 grant: grant_of(&self.dispatch),
                 is_hedge: self.dispatch.hedge,
                 key: self.dispatch.key.clone(),
+                service: self.dispatch.service.clone(),
                 target_left: Duration::from_millis(target_left_ms),
                 target_latency: Duration::from_millis(self.dispatch.target_latency_ms),
                 tenant_key: self.dispatch.tenant_key_hash.clone(),
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -251,8 +251,12 @@
 
     /// Drains units. The control thread has removed them from the view before, so no more requests start on them.
     pub(crate) fn drain(&self, units: BTreeSet<Unit>) {
+        let view = self.shared.view();
         let mut state = self.lock();
         state.units.drain(units);
+        for queued in state.take_ungranted(&view) {
+            refuse(queued, Reason::NotOwner);
+        }
         self.report_drained(&mut state);
     }
 
@@ -320,7 +324,11 @@
             let view = self.shared.view();
             let mut state = self.lock();
             state.apply_fleet_changes(&view);
-            state.update_served_units(now, &view, &self.handovers);
+            if state.update_served_units(now, &view, &self.handovers) {
+                for queued in state.take_ungranted(&view) {
+                    refuse(queued, Reason::NotOwner);
+                }
+            }
             state.tick(now);
             for queued in state.queue.take_expired(now) {
                 refuse_expired(now, queued);
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -35,6 +35,7 @@
 use crate::handover::HandoverContents;
 use crate::handover::IncomingHandovers;
 use crate::handover::StoredAnswer;
+use crate::home::granted_unit::GrantedUnit;
 use crate::home::local_upstream::LocalUpstream;
 use crate::home::unit_tracker::UnitTracker;
 use crate::home::waiting_request::WaitingRequest;
@@ -83,7 +84,7 @@
     pub(crate) arrived_at: Duration,
     /// Target latency of the route, zero when it has none.
     pub(crate) target_latency: Duration,
-    pub(crate) unit: Option<Unit>,
+    pub(crate) unit: Option<GrantedUnit>,
     pub(crate) workspace: WorkspaceId,
 }
 
@@ -117,7 +118,7 @@
     ///
     /// A request that started before its key was pinned runs under the shard of the key.
     fn pinned_unit(&self) -> Option<Unit> {
-        let service = match self.unit.as_ref()? {
+        let service = match self.unit.as_ref()?.unit() {
             Unit::Pinned { service, .. } | Unit::Shard { service, .. } => service.clone(),
             Unit::Bucket { .. } => return None,
         };
@@ -189,7 +190,8 @@
         }
     }
 
-    /// Begins the ownership of newly served units, once for each change of the served units.
+    /// Begins the ownership of newly served units, once for each change of the served units, and reports whether they
+    /// have changed.
     ///
     /// Ownership thus begins with service and not with the first request.
     pub(crate) fn update_served_units(
@@ -197,9 +199,9 @@
         now: Duration,
         view: &View,
         handovers: &IncomingHandovers,
-    ) {
+    ) -> bool {
         if Arc::ptr_eq(&self.serving, &view.serving) {
-            return;
+            return false;
         }
         self.serving = Arc::clone(&view.serving);
         for (unit, fence) in view.serving.iter() {
@@ -207,6 +209,7 @@
                 self.begin_ownership(now, unit, *fence, handovers);
             }
         }
+        true
     }
 
     /// Begins the ownership of a unit under `fence`, with the requests that were handed over by the move, if any.
@@ -293,6 +296,12 @@
         }
     }
 
+    /// Removes and returns the waiting requests whose key this process no longer serves.
+    pub(crate) fn take_ungranted(&mut self, view: &View) -> Vec<QueuedRequest<WaitingRequest>> {
+        self.queue
+            .take_matching(&|queued| GrantedUnit::verify(view, &queued.item).is_err())
+    }
+
     /// Removes and returns the draining units on which nothing runs.
     pub(crate) fn take_drained(&mut self) -> BTreeSet<Unit> {
         let busy = self
@@ -318,7 +327,8 @@
         }
         if let Some(unit) = &running.unit {
             let busy = now.saturating_sub(running.arrived_at);
-            self.units.record_end(unit, running.key.as_deref(), busy);
+            self.units
+                .record_end(unit.unit(), running.key.as_deref(), busy);
         }
         self.suspects.record_finish(ticket, ran)
     }
--- a/crates/router/src/home/mod.rs
+++ b/crates/router/src/home/mod.rs
@@ -2,6 +2,7 @@
 
 mod crash_report;
 mod execution;
+mod granted_unit;
 mod home_reports;
 mod home_service;
 mod home_state;
--- a/crates/router/src/home/request_starter.rs
+++ b/crates/router/src/home/request_starter.rs
@@ -12,6 +12,7 @@
 use policy::Ticket;
 
 use crate::home::Home;
+use crate::home::granted_unit::GrantedUnit;
 use crate::home::home_state::HomeState;
 use crate::home::home_state::RunningRequest;
 use crate::home::messages::encode_statement;
@@ -75,16 +76,19 @@
         if queued.item.tx.is_closed() {
             return None;
         }
-        if let Some(reason) = self.refusal_reason(&queued.item) {
-            refuse(queued, reason);
-            return None;
-        }
+        let unit = match self.authorize(&queued.item) {
+            Ok(unit) => unit,
+            Err(reason) => {
+                refuse(queued, reason);
+                return None;
+            }
+        };
         let ticket = self.state.limiter.acquire(self.now)?;
         let fingerprint = &queued.item.fingerprint;
         match self.state.suspects.try_start(self.now, ticket, fingerprint) {
             StartDecision::Started => {
                 self.state.cold.record_sent(self.now);
-                self.grant_permit(ticket, queued);
+                self.grant_permit(ticket, unit, queued);
                 None
             }
             StartDecision::Refused => {
@@ -100,28 +104,28 @@
         }
     }
 
-    /// Returns the reason why a request may not be sent to the upstream now, if there is one.
-    fn refusal_reason(&self, waiting: &WaitingRequest) -> Option<Reason> {
+    /// Returns the unit under which a request may be sent to the upstream now, or the reason why it may not be sent.
+    fn authorize(&self, waiting: &WaitingRequest) -> Result<Option<GrantedUnit>, Reason> {
         if !self.view.is_informed {
-            return Some(Reason::Uninformed);
+            return Err(Reason::Uninformed);
         }
         if self.state.is_drain_time_over(self.now) {
-            return Some(Reason::Stopping);
+            return Err(Reason::Stopping);
         }
         let fleet = &self.view.fleet;
         let tenant_key = waiting.tenant_key.as_ref();
         if tenant_key.is_some_and(|prefix| !fleet.accepts_key(prefix, waiting.entry_offset)) {
-            return Some(Reason::KeyWithdrawn);
+            return Err(Reason::KeyWithdrawn);
         }
-        let (unit, fence) = waiting.grant.as_ref()?;
-        if self.state.not_held.contains(unit) {
-            return Some(Reason::LeaseLapsed);
-        }
-        if self.view.serving.get(unit) != Some(fence) {
-            return Some(Reason::NotOwner);
+        let Some(granted) = GrantedUnit::verify(&self.view, waiting)? else {
+            return Ok(None);
+        };
+        let is_held = !self.state.not_held.contains(granted.unit());
+        if is_held && self.home.shared.lease.holds(self.now) {
+            Ok(Some(granted))
+        } else {
+            Err(Reason::LeaseLapsed)
         }
-        let holds = self.home.shared.lease.holds(self.now);
-        (!holds).then_some(Reason::LeaseLapsed)
     }
 
     fn release_ticket(&mut self, ticket: Ticket) {
@@ -129,10 +133,14 @@
         limiter.release(self.now, ticket, Completion::Cancelled);
     }
 
-    fn grant_permit(&mut self, ticket: Ticket, queued: QueuedRequest<WaitingRequest>) {
-        let unit = queued.item.grant.map(|(unit, _)| unit);
+    fn grant_permit(
+        &mut self,
+        ticket: Ticket,
+        unit: Option<GrantedUnit>,
+        queued: QueuedRequest<WaitingRequest>,
+    ) {
         if let Some(unit) = &unit {
-            self.state.units.record_start(unit);
+            self.state.units.record_start(unit.unit());
         }
         let running = RunningRequest {
             fingerprint: queued.item.fingerprint,
--- a/crates/router/src/home/waiting_request.rs
+++ b/crates/router/src/home/waiting_request.rs
@@ -4,6 +4,7 @@
 
 use ids::Fence;
 use ids::Offset;
+use ids::ServiceId;
 use ids::Unit;
 use policy::Fingerprint;
 use tokio::sync::oneshot;
@@ -25,6 +26,7 @@
     /// Whether another home may be running the same request.
     pub(crate) is_hedge: bool,
     pub(crate) key: Option<String>,
+    pub(crate) service: ServiceId,
     /// Remaining part of the target latency.
     pub(crate) target_left: Duration,
     /// Target latency of the route, zero when it has none.
--- a/crates/skylarkrudder/tests/faults/balance.rs
+++ b/crates/skylarkrudder/tests/faults/balance.rs
@@ -70,3 +70,16 @@
         .check_trace()
         .check_every_key_is_served();
 }
+
+#[test]
+fn requests_that_wait_while_their_key_is_pinned_and_moved_run_on_its_owner_only() {
+    let builder = Scenario::builder().upstreams(UpstreamOptions {
+        slots: 1,
+        work_ms: 20,
+        ..UpstreamOptions::default()
+    });
+    Scenario::start_with(builder)
+        .with_streams(LOAD, vec![orders(KEYS, 60.0), orders(1, 40.0)])
+        .check_trace()
+        .check_every_key_is_served();
+}
