Bound the bytes that an upstream may send for one answer

Cause: found by a new test with upstreams whose bytes never end. hyper skips interim answers (1xx) of any number, and leading zeros of a chunk's size of any number. The client read 542 MB and 617 MB until its deadline of 60 s. Endless heads, header lines, chunk extensions, trailers and bodies were bounded before.

Change: a connection may receive 128 KiB from the sending of a request to the end of the headers of its answer, and 8 times the largest answer after them. Beyond that it fails, the outcome is unknown, and it is not used again.

Tests: upstream endless::* (13 endings at full speed and trickled, and bytes after a complete answer); the first one failed before.

Open: control at size.

--- a/crates/upstream/src/connection_pool.rs
+++ b/crates/upstream/src/connection_pool.rs
@@ -19,7 +19,7 @@
     /// Takes the most recently used connection, unless its last answer is older than `max_idle_time`.
     pub(crate) fn take(&self, max_idle_time: Duration) -> Option<Connection> {
         let mut idle = self.lock_idle();
-        idle.retain(|conn| !conn.sender.is_closed());
+        idle.retain(|conn| !conn.is_closed());
         idle.pop_back_if(|conn| conn.last_answer.elapsed() <= max_idle_time)
     }
 
--- a/crates/upstream/src/control_client.rs
+++ b/crates/upstream/src/control_client.rs
@@ -108,15 +108,11 @@
     address: SocketAddr,
     req: Request<Full<Bytes>>,
 ) -> Result<(StatusCode, Bytes), ControlError> {
-    let mut conn = Connection::open(address, ())
+    let mut conn = Connection::open(address, MAX_ANSWER_BYTES, ())
         .await
         .map_err(ControlError::NotSent)?;
     let lost = |error: &dyn std::fmt::Display| ControlError::ConnectionLost(error.to_string());
-    let res = conn
-        .sender
-        .send_request(req)
-        .await
-        .map_err(|error| lost(&error))?;
+    let res = conn.send(req).await.map_err(|error| lost(error.error()))?;
     let status = res.status();
     let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES)
         .collect()
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -165,7 +165,7 @@
         let dialect = &self.client.settings().dialect;
         set_deadline(req.headers_mut(), &dialect.deadline_ms, remaining);
         let header_timeout = remaining.min(self.response_header_timeout.unwrap_or(remaining));
-        let sending = in_flight.conn.sender.try_send_request(req);
+        let sending = in_flight.conn.send(req);
         match timeout(header_timeout, sending).await {
             Ok(Ok(res)) => Ok(res),
             Ok(Err(mut error)) => match error.take_message() {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -3,6 +3,7 @@
 mod announcement;
 mod announcement_error;
 mod answer;
+mod bounded_stream;
 mod cancel_on_drop;
 mod client_settings;
 mod connection;
--- a/crates/upstream/src/upstream_client.rs
+++ b/crates/upstream/src/upstream_client.rs
@@ -142,7 +142,7 @@
         max_idle_time: Duration,
     ) -> Result<Connection, DispatchError> {
         while let Some(mut conn) = self.shared.pool.take(max_idle_time) {
-            if let Ok(Ok(())) = timeout(READY_TIMEOUT, conn.sender.ready()).await {
+            if let Ok(Ok(())) = timeout(READY_TIMEOUT, conn.ready()).await {
                 return Ok(conn);
             }
         }
@@ -164,7 +164,12 @@
             .acquire_owned()
             .await
             .map_err(|error| error.to_string())?;
-        Connection::open(self.shared.address, permit).await
+        Connection::open(
+            self.shared.address,
+            self.shared.settings.max_answer_bytes,
+            permit,
+        )
+        .await
     }
 
     pub(crate) fn pool(&self) -> &ConnectionPool {
--- a/crates/upstream/tests/upstream/main.rs
+++ b/crates/upstream/tests/upstream/main.rs
@@ -2,4 +2,5 @@
 
 mod control;
 mod dispatch;
+mod endless;
 mod fake_upstream;
