Bound the bytes of a caller's body with its framing

Cause: as for upstreams, leading zeros of a chunk's size were read until the request timeout: 578 MB in 60 s on one connection.

Change: a connection may receive 8 times the largest body after the headers of a request, and is cut off beyond that.

--- a/crates/httpd/src/connection_state.rs
+++ b/crates/httpd/src/connection_state.rs
@@ -8,6 +8,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionState {
     are_headers_too_large: AtomicBool,
+    /// Number of bytes that have arrived since a request's headers, with the framing of its body.
+    body_bytes: AtomicUsize,
     has_served: AtomicBool,
     header_bytes: AtomicUsize,
     is_answering: AtomicBool,
@@ -18,6 +20,7 @@
 impl ConnectionState {
     /// Records that a request's headers have arrived.
     pub(crate) fn begin_exchange(&self) {
+        self.body_bytes.store(0, Ordering::Relaxed);
         self.is_answering.store(true, Ordering::Relaxed);
     }
 
@@ -56,6 +59,11 @@
         self.header_bytes.fetch_add(bytes, Ordering::Relaxed);
     }
 
+    /// Adds bytes that have arrived after a request's headers, and returns their number.
+    pub(crate) fn add_body_bytes(&self, bytes: usize) -> usize {
+        self.body_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes
+    }
+
     /// Records that headers are incomplete at their size limit.
     pub(crate) fn set_headers_too_large(&self) {
         self.are_headers_too_large.store(true, Ordering::Relaxed);
--- a/crates/httpd/src/limited_stream.rs
+++ b/crates/httpd/src/limited_stream.rs
@@ -19,12 +19,18 @@
 use crate::Limits;
 use crate::connection_state::ConnectionState;
 
-/// TCP stream whose reads fail when headers exceed their size limit or timeout, and whose writes fail when the client
+/// Maximum number of bytes that one byte of a body may take. A chunk with a single byte takes 6, and hyper reads leading
+/// zeros in the size of a chunk without end.
+const MAX_FRAMING_FACTOR: usize = 8;
+
+/// TCP stream whose reads fail when headers exceed their size limit or timeout or a body its size limit, and whose writes fail when the client
 /// reads its answer too slowly.
 #[derive(Debug)]
 pub(crate) struct LimitedStream {
     answer_timeout: Duration,
     header_timer: Option<Pin<Box<Sleep>>>,
+    /// Maximum number of bytes of a body and its trailers with their framing.
+    max_body_bytes: usize,
     max_header_bytes: usize,
     header_timeout: Duration,
     state: Arc<ConnectionState>,
@@ -37,6 +43,7 @@
         Self {
             answer_timeout: limits.answer_timeout,
             header_timer: None,
+            max_body_bytes: limits.body_bytes * MAX_FRAMING_FACTOR + limits.header_bytes,
             max_header_bytes: limits.header_bytes,
             header_timeout: limits.header_timeout,
             state,
@@ -64,6 +71,21 @@
         Poll::Ready(Err(ErrorKind::TimedOut.into()))
     }
 
+    /// Reads bytes of a body, and fails when they exceed what the largest body may take.
+    fn poll_read_body(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let received = buf.filled().len() - before;
+        if self.state.add_body_bytes(received) > self.max_body_bytes {
+            return Poll::Ready(Err(ErrorKind::FileTooLarge.into()));
+        }
+        Poll::Ready(Ok(()))
+    }
+
     fn poll_write_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let timeout = self.answer_timeout;
         let timer = self
@@ -81,7 +103,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let Some(header_bytes) = self.state.incomplete_header_bytes() else {
-            return Pin::new(&mut self.stream).poll_read(cx, buf);
+            return self.poll_read_body(cx, buf);
         };
         let remaining = self.max_header_bytes.saturating_sub(header_bytes);
         if remaining == 0 {
