Mend findings on remembered state and on the checker

- The checker reported `foreign_answer` where a repetition under an idempotency key got the first answer, as docs/INTERFACES.md states.
It now accepts another request's answer only under a key that was sent more than once, if all answers under the key are of one request, and if no caller sent that request under another key or without one; body, key and workspace must match as before (standin checker repetition_*).
- `RecentRefusals` kept the order entries of repeated requests, which displaced others (policy refusals_that_were_repeated_do_not_displace_others).
- `Dispatch::never_dispatched` was never true and is gone with the exemption.
- BUCKETS_PER_WORKSPACE stands once, in `ids`.
- Step (7) of the proof of `Bucket` names the timing of the bucket in place of the default one.

--- a/crates/cluster/src/fold_configuration.rs
+++ b/crates/cluster/src/fold_configuration.rs
@@ -1,6 +1,7 @@
 //! Effects of configuration, quarantine and snapshot records.
 
 use config::KeyHash;
+use ids::BUCKETS_PER_WORKSPACE;
 use ids::Offset;
 use ids::Unit;
 use ids::VmId;
@@ -13,9 +14,6 @@
 use crate::quarantine::CrashReport;
 use crate::snapshot_progress::MAX_PARTS;
 
-/// Number of bucket units that the rate limit of each workspace is divided into.
-pub const BUCKETS_PER_WORKSPACE: u32 = 4;
-
 impl Fleet {
     pub(crate) fn publish(
         &mut self,
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -50,7 +50,6 @@
 pub use document::Document;
 pub use end_reason::EndReason;
 pub use fleet::Fleet;
-pub use fold_configuration::BUCKETS_PER_WORKSPACE;
 pub use fold_units::MAX_PINNED_KEY_BYTES;
 pub use fold_units::MAX_PINS;
 pub use join::Join;
--- a/crates/cluster/src/snapshot.rs
+++ b/crates/cluster/src/snapshot.rs
@@ -5,6 +5,7 @@
 use ids::Fence;
 use ids::Incarnation;
 use ids::Offset;
+use ids::Unit;
 use ids::VmId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -35,6 +36,9 @@
 #[serde(deny_unknown_fields)]
 struct Snapshot {
     configuration: Configuration,
+    /// State that upstreams of previous owners handed over, by unit.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    handovers: BTreeMap<Unit, String>,
     holdings: BTreeMap<VmId, Vec<Holding>>,
     members: Vec<MemberState>,
     next: Offset,
@@ -60,6 +64,7 @@
     pub fn snapshot_parts(&self) -> Vec<String> {
         let snapshot = Snapshot {
             configuration: self.configuration.clone(),
+            handovers: handovers(&self.units),
             holdings: group_holdings(&self.units),
             members: self.member_states(),
             next: self.next_offset,
@@ -114,7 +119,12 @@
             progress: snapshot.progress,
             quarantine: snapshot.quarantine,
             recent: RecentRecords::from_runs(&snapshot.recent).ok_or(SnapshotError::Damaged)?,
-            units: restore_units(snapshot.holdings, snapshot.unowned, &roster)?,
+            units: restore_units(
+                snapshot.holdings,
+                snapshot.unowned,
+                snapshot.handovers,
+                &roster,
+            )?,
             roster,
         })
     }
@@ -135,6 +145,16 @@
     }
 }
 
+fn handovers(units: &Units) -> BTreeMap<Unit, String> {
+    let handed_over = units
+        .owners()
+        .iter()
+        .filter(|(_, owner)| !owner.handover.is_empty());
+    handed_over
+        .map(|(unit, owner)| (unit.clone(), owner.handover.clone()))
+        .collect()
+}
+
 fn group_holdings(units: &Units) -> BTreeMap<VmId, Vec<Holding>> {
     let mut groups: BTreeMap<VmId, BTreeMap<(Fence, u64), UnitSet>> = BTreeMap::new();
     for (unit, owner) in units.owners() {
@@ -163,6 +183,7 @@
 fn restore_units(
     holdings: BTreeMap<VmId, Vec<Holding>>,
     unowned: BTreeMap<u64, UnitSet>,
+    mut handovers: BTreeMap<Unit, String>,
     roster: &Roster,
 ) -> Result<Units, SnapshotError> {
     let mut units = Units::default();
@@ -177,7 +198,12 @@
                 wait_ms,
             };
             for unit in set.into_units() {
-                units.set_owner(unit, ownership.clone());
+                let handover = handovers.remove(&unit).unwrap_or_default();
+                let ownership = Ownership {
+                    handover,
+                    ..ownership.clone()
+                };
+                units.set_owner(unit, ownership);
             }
         }
     }
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -5,6 +5,9 @@
 pub use unit::ParseUnitError;
 pub use unit::Unit;
 
+/// Number of token buckets of each workspace, which share its rate.
+pub const BUCKETS_PER_WORKSPACE: u32 = 4;
+
 /// Number that orders grants of one unit: the offset of the record that decided its owner.
 pub type Fence = u64;
 
--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -69,7 +69,8 @@
 /// place during the move. So (2) to (4) still hold.
 /// (7) *Change of the limit.* Refill up to the change runs at the old rate, so `r * w` becomes the
 /// integral of the rate. After a decrease of the burst, (2) holds for the old burst until the batches
-/// granted before the change have expired, at most [`Bucket::MAX_HOLD`] later.
+/// granted before the change have expired, at most the longest hold of the bucket's [`TokenTiming`]
+/// later.
 #[derive(Clone, Debug)]
 pub struct Bucket {
     fence: Fence,
--- a/crates/policy/src/idempotency.rs
+++ b/crates/policy/src/idempotency.rs
@@ -10,6 +10,4 @@
     pub fingerprint: Fingerprint,
     /// Key that the caller chose.
     pub key: IdempotencyKey,
-    /// Whether it is known that no entry has ever dispatched a request with the key.
-    pub never_dispatched: bool,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -136,7 +136,6 @@
 pub use queued_request::QueuedRequest;
 pub use rank::compute_rank;
 pub use ranked_queue::RankedQueue;
-pub use rate_limit::BUCKETS_PER_WORKSPACE;
 pub use rate_limit::RateLimit;
 pub use rate_limiter::RateLimiter;
 pub use rate_limiter::Ticket;
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -1,11 +1,9 @@
 //! Rate limit of a workspace.
 
+use ids::BUCKETS_PER_WORKSPACE;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Number of buckets that the rate limit of a workspace is divided into.
-pub const BUCKETS_PER_WORKSPACE: u32 = 4;
-
 /// Smallest burst of a part when a limit is divided into several.
 const MIN_PART_BURST: u32 = 4;
 
--- a/crates/policy/src/recent_refusals.rs
+++ b/crates/policy/src/recent_refusals.rs
@@ -1,7 +1,6 @@
 //! Recently refused requests, which callers may repeat.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::Fingerprint;
@@ -21,13 +20,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct RecentRefusals {
     by_fingerprint: BTreeMap<Fingerprint, Vec<RefusedRequest>>,
-    order: VecDeque<(Duration, Fingerprint)>,
+    next_number: u64,
+    /// Deadline and fingerprint of each remembered request, by its number.
+    order: BTreeMap<u64, (Duration, Fingerprint)>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct RefusedRequest {
     deadline: Duration,
     first_arrived: Duration,
+    number: u64,
 }
 
 impl RecentRefusals {
@@ -41,13 +43,16 @@
         first_arrived: Duration,
     ) {
         self.evict_old(now);
+        let number = self.next_number;
+        self.next_number += 1;
         let refused = RefusedRequest {
             deadline,
             first_arrived,
+            number,
         };
         let matching = self.by_fingerprint.entry(fingerprint.clone()).or_default();
         matching.push(refused);
-        self.order.push_back((deadline, fingerprint.clone()));
+        self.order.insert(number, (deadline, fingerprint.clone()));
     }
 
     /// Removes the refusal that the request repeats, and returns when the request first arrived.
@@ -66,6 +71,7 @@
             |refused: &RefusedRequest| refused.deadline.abs_diff(deadline) <= DEADLINE_TOLERANCE;
         let index = matching.iter().position(is_same)?;
         let refused = matching.swap_remove(index);
+        self.order.remove(&refused.number);
         if matching.is_empty() {
             self.by_fingerprint.remove(fingerprint);
         }
@@ -74,16 +80,16 @@
 
     /// Removes requests whose deadline has passed, and the oldest ones while there are too many.
     fn evict_old(&mut self, now: Duration) {
-        while let Some((deadline, _)) = self.order.front()
+        while let Some((_, (deadline, _))) = self.order.first_key_value()
             && (*deadline + DEADLINE_TOLERANCE < now || self.order.len() >= MAX_REFUSALS)
         {
-            let Some((deadline, fingerprint)) = self.order.pop_front() else {
+            let Some((number, (_, fingerprint))) = self.order.pop_first() else {
                 return;
             };
             let Some(matching) = self.by_fingerprint.get_mut(&fingerprint) else {
                 continue;
             };
-            matching.retain(|refused| refused.deadline != deadline);
+            matching.retain(|refused| refused.number != number);
             if matching.is_empty() {
                 self.by_fingerprint.remove(&fingerprint);
             }
--- a/crates/policy/src/request_memory.rs
+++ b/crates/policy/src/request_memory.rs
@@ -113,7 +113,7 @@
             }
             let unit = request.unit.as_ref();
             let known_since = self.ownership.known_since(&self.bounds, unix_ms, unit);
-            if idempotency.key.created_unix_ms() <= known_since && !idempotency.never_dispatched {
+            if idempotency.key.created_unix_ms() <= known_since {
                 return BeginDecision::Unknown;
             }
         }
--- a/crates/policy/src/token_cache.rs
+++ b/crates/policy/src/token_cache.rs
@@ -3,8 +3,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use ids::BUCKETS_PER_WORKSPACE;
+
 use crate::Admission;
-use crate::BUCKETS_PER_WORKSPACE;
 use crate::Batch;
 use crate::RateLimit;
 use crate::RateLimiter;
--- a/crates/policy/tests/buckets.rs
+++ b/crates/policy/tests/buckets.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use ids::BUCKETS_PER_WORKSPACE;
 use policy::Admission;
-use policy::BUCKETS_PER_WORKSPACE;
 use policy::BatchReport;
 use policy::Bucket;
 use policy::BucketState;
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -9,8 +9,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use ids::BUCKETS_PER_WORKSPACE;
 use policy::Admission;
-use policy::BUCKETS_PER_WORKSPACE;
 use policy::Batch;
 use policy::BatchReport;
 use policy::BucketState;
--- a/crates/policy/tests/refusals.rs
+++ b/crates/policy/tests/refusals.rs
@@ -49,3 +49,19 @@
     assert!(!known(&mut refusals, 5_000));
     assert!(known(&mut refusals, 9_999));
 }
+
+#[test]
+fn refusals_that_were_repeated_do_not_displace_others() {
+    let mut refusals = RecentRefusals::default();
+    let waiting = "waiting".to_owned();
+    let deadline = 60_000 * MS;
+    refusals.record(MS, &waiting, deadline, MS);
+    for number in 0..10_000 {
+        let fingerprint = format!("repeated-{number}");
+        refusals.record(MS, &fingerprint, deadline, MS);
+        let first = refusals.take_first_arrival(MS, &fingerprint, deadline);
+        assert_eq!(first, Some(MS));
+    }
+    let first = refusals.take_first_arrival(MS, &waiting, deadline);
+    assert_eq!(first, Some(MS));
+}
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -300,7 +300,6 @@
             hedge: false,
             entry_offset: view.fleet.next_offset(),
             attempt: 0,
-            never_dispatched: false,
             target_latency_ms: milliseconds(request.target_latency),
             tenant_key_hash: credentials.map(|credentials| credentials.hash.prefix().to_owned()),
         }
--- a/crates/router/src/home/messages.rs
+++ b/crates/router/src/home/messages.rs
@@ -70,7 +70,6 @@
         idempotency: key.map(|key| Idempotency {
             fingerprint: dispatch.fingerprint.clone(),
             key,
-            never_dispatched: dispatch.never_dispatched,
         }),
         unit: grant_of(dispatch).map(|(unit, _)| unit),
     }
--- a/crates/standin/src/checker/mod.rs
+++ b/crates/standin/src/checker/mod.rs
@@ -7,6 +7,7 @@
 mod out_of_service;
 mod ownership;
 mod rates;
+mod repetitions;
 mod responses;
 mod trace;
 mod trace_facts;
--- a/crates/standin/tests/checker.rs
+++ b/crates/standin/tests/checker.rs
@@ -187,6 +187,73 @@
     requests_above_upstream_capacity: |trace| trace.executions[1].running = 11,
 }
 
+/// Returns a trace in which the second request repeats the first under its idempotency key and gets its answer.
+fn repetition_trace() -> Trace {
+    let mut trace = clean_trace();
+    trace.executions.remove(1);
+    for observation in &mut trace.observations {
+        observation.idempotency_key = Some("key-1".to_owned());
+        observation.body_hash = Some("body of r1".to_owned());
+    }
+    trace.observations[1].answer = trace.observations[0].answer.clone();
+    trace
+}
+
+#[test]
+fn repetition_under_an_idempotency_key_gets_the_first_answer() {
+    let violations = repetition_trace().check();
+    assert!(violations.is_empty(), "{violations:?}");
+    let mut trace = repetition_trace();
+    trace.observations[0] = unanswered("r1");
+    trace.observations[0].idempotency_key = Some("key-1".to_owned());
+    let violations = trace.check();
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+#[test]
+fn repetition_that_gets_another_answer_is_a_violation() {
+    let check = |change: fn(&mut Trace)| {
+        let mut trace = repetition_trace();
+        change(&mut trace);
+        trace.check()
+    };
+    let without_key = check(|trace| trace.observations[1].idempotency_key = None);
+    let without_first = check(|trace| {
+        trace.observations.remove(0);
+    });
+    let other_key = check(|trace| {
+        trace.observations[1].idempotency_key = Some("key-2".to_owned());
+    });
+    let other_body = check(|trace| {
+        let answer = trace.observations[1].answer.as_mut().unwrap();
+        answer.body_hash = "body of r9".to_owned();
+    });
+    let answers_differ = check(|trace| {
+        let answer = trace.observations[1].answer.as_mut().unwrap();
+        answer.request_id = "r9".to_owned();
+    });
+    let answer_of_another = check(|trace| {
+        let other = Observation {
+            idempotency_key: None,
+            ..trace.observations[0].clone()
+        };
+        trace.observations[0] = unanswered("r1");
+        trace.observations[0].idempotency_key = Some("key-1".to_owned());
+        trace.observations.push(other);
+    });
+    for violations in [
+        without_key,
+        without_first,
+        other_key,
+        other_body,
+        answers_differ,
+        answer_of_another,
+    ] {
+        let text: String = violations.iter().map(ToString::to_string).collect();
+        assert!(text.contains("foreign_answer"), "{text}");
+    }
+}
+
 #[test]
 fn trace_that_breaks_no_rule_is_clean() {
     let violations = violations_after(|trace| {
--- a/crates/wire/src/message/dispatch.rs
+++ b/crates/wire/src/message/dispatch.rs
@@ -70,9 +70,6 @@
     /// Number of previous times that the entry sent the request.
     #[prost(uint32, tag = "19")]
     pub attempt: u32,
-    /// Whether the entry knows that no earlier request with this idempotency key was dispatched.
-    #[prost(bool, tag = "20")]
-    pub never_dispatched: bool,
     /// Prefix of the hash of the tenant key, absent on open routes. The request is dropped once the key
     /// is withdrawn.
     #[prost(string, optional, tag = "21")]
