Tell an unanswered token request from an exceeded rate

Entries ask one bucket owner after the other, 60 ms each, and refuse after 250 ms: while none of four owners replied, the fourth had not timed out yet and counted as reachable.

Change: a refusal after a wait in which no owner replied counts as an unreachable owner until one replies, and the caller is told to return after 100 ms.

Test that failed first: policy limits a_refusal_while_no_owner_answers_is_not_due_to_the_rate (wait of 1 us before).

--- a/crates/policy/src/token_cache.rs
+++ b/crates/policy/src/token_cache.rs
@@ -20,6 +20,9 @@
 /// Longest time for which a request waits for a token.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
+/// Shortest time after which a caller should retry a request that was refused because no bucket owner replied.
+const UNANSWERED_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// An entry prefetches at most one in this many tokens of a bucket's burst.
 const PREFETCH_BURST_DIVISOR: u32 = 4;
 
@@ -30,6 +33,10 @@
 #[derive(Clone, Debug)]
 pub struct TokenCache {
     buckets: Vec<BucketClient>,
+    /// Time of the last reply of a bucket owner.
+    replied_at: Option<Duration>,
+    /// Whether a request was refused after a wait in which no bucket owner replied, and none has replied since.
+    is_unanswered: bool,
     request_rate: RequestRate,
     limit: RateLimit,
     next_request_id: u64,
@@ -56,6 +63,8 @@
             buckets: (0..BUCKETS_PER_WORKSPACE)
                 .map(|_| BucketClient::default())
                 .collect(),
+            replied_at: None,
+            is_unanswered: false,
             request_rate: RequestRate::default(),
             limit,
             next_request_id: 0,
@@ -101,8 +110,10 @@
         let parts = self.limit.part_count() as usize;
         let buckets = self.buckets[..parts].iter();
         let refilled = buckets.map(|bucket| bucket.time_to_next_request(now)).min();
+        let unanswered = self.is_unanswered.then_some(UNANSWERED_RETRY_DELAY);
         expected
             .max(self.timing.min_retry_after)
+            .max(unanswered.unwrap_or_default())
             .max(refilled.unwrap_or_default())
     }
 
@@ -135,6 +146,7 @@
             if now < waiter.waiting_since + max_wait {
                 break;
             }
+            self.is_unanswered |= self.replied_at < Some(waiter.waiting_since);
             self.refused.extend(self.waiting.pop_front());
         }
         let retry_after = self.retry_after(now);
@@ -245,6 +257,8 @@
         for (index, bucket) in (0..).zip(&mut self.buckets) {
             let part = self.limit.part(index);
             if bucket.receive_batch(now, part, request_id, batch) {
+                self.replied_at = Some(now);
+                self.is_unanswered = false;
                 return;
             }
         }
@@ -263,7 +277,8 @@
     fn has_reachable_owner(&self) -> bool {
         let parts = self.limit.part_count() as usize;
         let mut buckets = self.buckets[..parts].iter();
-        parts == 0 || buckets.any(|bucket| !bucket.is_unresponsive())
+        let is_any_responsive = buckets.any(|bucket| !bucket.is_unresponsive());
+        parts == 0 || (is_any_responsive && !self.is_unanswered)
     }
 
     fn poll(&mut self, now: Duration) -> Vec<RateLimiterStep> {
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -8,6 +8,7 @@
 use fleet::Faults;
 use fleet::Fleet;
 use fleet::Setup;
+use policy::Admission;
 use policy::Bucket;
 use policy::RateLimit;
 use policy::RateLimiter;
@@ -184,3 +185,35 @@
         "{refused:?}"
     );
 }
+
+#[test]
+fn a_refusal_while_no_owner_answers_is_not_due_to_the_rate() {
+    const RATE: u32 = 1_000_000;
+    let limit = RateLimit {
+        burst_requests: RATE,
+        rate_requests_per_second: RATE,
+    };
+    let mut cache = TokenCache::new(limit, 0);
+    let at = Duration::from_millis;
+    assert_eq!(cache.admit(at(0), 1), Admission::Waiting);
+    let steps = cache.poll(at(0));
+    let [RateLimiterStep::RequestTokens(request)] = &steps[..] else {
+        panic!("{steps:?}");
+    };
+    let mut owner = Bucket::new(Duration::ZERO, 1, limit.part(request.bucket));
+    let granted = owner.grant(at(600), &"vm-1".to_owned(), request.wanted);
+    assert_eq!(granted.tokens, 1);
+    cache.receive_batch(at(1), request.id, &granted);
+    cache.poll(at(1));
+    assert_eq!(cache.admit(at(500), 2), Admission::Waiting);
+    let refusal = (500..=1_000).find_map(|ms| {
+        let steps = cache.poll(at(ms));
+        steps.into_iter().find_map(|step| match step {
+            RateLimiterStep::Refuse { retry_after, .. } => Some(retry_after),
+            _ => None,
+        })
+    });
+    assert!(!cache.has_reachable_owner());
+    let retry_after = refusal.expect("the request is refused");
+    assert!(retry_after >= at(50), "{retry_after:?}");
+}
