Bound the bodies that wait at a home

Cause: entries bound the bytes of all bodies in memory, homes only the number of requests: 1,000 waiting uploads of 360 KB are 360 MB on a machine of 160 MB.

Change: `limits.home_body_bytes` (32 MiB) bounds the bodies that wait for the upstream or run on it. More are refused at once as not run.

--- a/crates/httpd/src/lib.rs
+++ b/crates/httpd/src/lib.rs
@@ -12,6 +12,7 @@
 mod refusal_reason;
 mod serve;
 
+pub use byte_reservation::ByteReservation;
 pub use handler::Handler;
 pub use limits::Limits;
 pub use listen::listen;
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use httpd::ByteReservation;
 use policy::ArrivedRequest;
 use policy::Completion;
 use policy::QueuedRequest;
@@ -37,12 +38,14 @@
     deadline: Duration,
     dispatch: Dispatch,
     home: Arc<Home>,
+    /// Holds the size of the body until the request has ended.
+    _body: ByteReservation,
     is_finished: bool,
     is_started: bool,
 }
 
 impl Execution {
-    pub(crate) fn new(home: Arc<Home>, dispatch: Dispatch) -> Self {
+    pub(crate) fn new(home: Arc<Home>, dispatch: Dispatch, body: ByteReservation) -> Self {
         let arrived_at = home.shared.clock.now();
         let deadline = arrived_at + Duration::from_millis(dispatch.deadline_ms);
         Self {
@@ -50,6 +53,7 @@
             deadline,
             dispatch,
             home,
+            _body: body,
             is_finished: false,
             is_started: false,
         }
@@ -68,6 +72,14 @@
         outcome
     }
 
+    /// Refuses the request without adding it to the queue.
+    pub(crate) fn refuse(&mut self, reason: Reason) -> Outcome {
+        let outcome = self.not_run(reason);
+        self.log_refusal(Step::RefusedByHome, &outcome);
+        self.finish(&outcome);
+        outcome
+    }
+
     fn finish(&mut self, outcome: &Outcome) {
         self.is_finished = true;
         self.home.finish(&self.dispatch.request_id, outcome);
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -5,9 +5,11 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use cluster::Body;
+use httpd::ByteReservation;
 use ids::Fence;
 use ids::RequestId;
 use ids::Unit;
@@ -63,6 +65,8 @@
 /// Runs requests on the local upstream.
 #[derive(Debug)]
 pub(crate) struct Home {
+    /// Total size of the bodies of the requests that wait or run, in bytes.
+    body_bytes: Arc<AtomicUsize>,
     handovers: Arc<IncomingHandovers>,
     pub(crate) control: ControlSender,
     /// Notified when a request waits.
@@ -79,6 +83,7 @@
     ) -> Self {
         let state = HomeState::new(shared.clock.now(), &shared.limits, &shared.policy);
         Self {
+            body_bytes: Arc::default(),
             handovers,
             control,
             queued: Notify::new(),
@@ -144,7 +149,13 @@
     async fn execute(self: &Arc<Self>, dispatch: Dispatch) -> Outcome {
         let request_id = dispatch.request_id.clone();
         let outlives_caller = dispatch.idempotency_key.is_some();
-        let execution = Execution::new(Arc::clone(self), dispatch);
+        let mut body = ByteReservation::new(Arc::clone(&self.body_bytes));
+        let max_bytes = usize::try_from(self.shared.limits.home_body_bytes);
+        let is_within = body.add_and_check(dispatch.body.len(), max_bytes.unwrap_or(usize::MAX));
+        let mut execution = Execution::new(Arc::clone(self), dispatch, body);
+        if !is_within {
+            return execution.refuse(Reason::Overloaded);
+        }
         if !outlives_caller {
             return execution.run().await;
         }
--- a/crates/router/src/settings/limits.rs
+++ b/crates/router/src/settings/limits.rs
@@ -25,6 +25,9 @@
     pub header_bytes: u64,
     /// Time that a caller has to send the head of a request, in milliseconds.
     pub header_timeout_ms: u64,
+    /// Maximum total size of the bodies of requests that wait for the local upstream or run on it, in bytes. Further
+    /// requests are refused as not run.
+    pub home_body_bytes: u64,
     /// Number of recent requests whose decisions are kept for operators.
     pub kept_decisions: u64,
     /// Maximum deadline that a caller may set, in milliseconds.
@@ -55,6 +58,7 @@
             drain_ms: 1_500,
             header_bytes: 32 << 10,
             header_timeout_ms: 5_000,
+            home_body_bytes: 32 << 20,
             kept_decisions: 5_000,
             max_deadline_ms: 30_000,
             queue_percent: 100,
@@ -93,6 +97,12 @@
                 10,
                 60_000,
             ),
+            (
+                "limits.home_body_bytes",
+                self.home_body_bytes,
+                self.upload_bytes,
+                1 << 32,
+            ),
             ("limits.kept_decisions", self.kept_decisions, 1, 1_000_000),
             ("limits.max_deadline_ms", self.max_deadline_ms, 10, 300_000),
             ("limits.queue_percent", self.queue_percent, 1, 100),
