--- a/crates/upstream/tests/upstream/dispatch.rs
+++ b/crates/upstream/tests/upstream/dispatch.rs
@@ -5,8 +5,10 @@
 
 use crate::fake_upstream::FakeUpstream;
 use crate::fake_upstream::distant_deadline;
+use crate::fake_upstream::read_request;
 use crate::fake_upstream::request;
 use ids::Unit;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use upstream::ClientSettings;
 use upstream::DispatchError;
@@ -292,3 +294,39 @@
     assert!(not_run.is_not_run());
     assert!(!DispatchError::NoAnswer.is_not_run());
 }
+
+#[tokio::test]
+async fn a_late_copy_of_an_answer_never_answers_the_next_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let answer = |id: &str| {
+            format!("HTTP/1.1 200 OK\r\nskylark-request-id: {id}\r\ncontent-length: 4\r\n\r\n{id}")
+        };
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_request(&mut stream).await.unwrap();
+        stream.write_all(answer("id-1").as_bytes()).await.unwrap();
+        read_request(&mut stream).await.unwrap();
+        let late = answer("id-1") + &answer("id-2");
+        stream.write_all(late.as_bytes()).await.unwrap();
+        assert!(read_request(&mut stream).await.is_none());
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_request(&mut stream).await.unwrap();
+        stream.write_all(answer("id-3").as_bytes()).await.unwrap();
+    });
+    let client = UpstreamClient::new(address, ClientSettings::default());
+    let dispatch = async |id: &str| {
+        let req = Request {
+            request_id: id.to_owned(),
+            ..request("/")
+        };
+        client.dispatch(req, distant_deadline()).await
+    };
+    assert_eq!(dispatch("id-1").await.unwrap().body, "id-1");
+    let second = dispatch("id-2").await;
+    assert!(
+        matches!(second, Err(DispatchError::MismatchedAnswer(_))),
+        "{second:?}"
+    );
+    assert_eq!(dispatch("id-3").await.unwrap().body, "id-3");
+}
--- a/crates/upstream/tests/upstream/fake_upstream.rs
+++ b/crates/upstream/tests/upstream/fake_upstream.rs
@@ -114,7 +114,8 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+/// Reads a request, or returns `None` if the connection has closed.
+pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut buf = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&buf).into_owned();
