--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -115,9 +115,9 @@
             Event::LogFailed => self.log.read_failed(),
             Event::LogIdle => self.log.read_succeeded(now, None),
             Event::PeerLoads { loads } => self.loads.peer_loads.extend(loads),
-            Event::PeerRecords { records, .. } => {
+            Event::PeerRecords { next, records, .. } => {
                 self.apply_records(now, &records, actions);
-                self.log.pull_succeeded(now);
+                self.log.pull_succeeded(now, next);
             }
             Event::Records { next, records } => {
                 self.apply_records(now, &records, actions);
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -72,6 +72,8 @@
     },
     /// A peer answered a pull with records.
     PeerRecords {
+        /// Offset of the next record that the peer reads.
+        next: Offset,
         /// The peer.
         peer: VmId,
         /// Records with their offsets, in the order of the log.
--- a/crates/membership/src/log_state.rs
+++ b/crates/membership/src/log_state.rs
@@ -119,8 +119,7 @@
         }
         self.is_failing = false;
         self.read_at = Some(now);
-        self.is_caught_up =
-            self.snapshot_search.is_none() && next.is_none_or(|next| self.next_offset() >= next);
+        self.is_caught_up = self.has_read_until(next.unwrap_or_default());
         if self.is_caught_up {
             self.informed_at = Some(now);
         }
@@ -131,9 +130,18 @@
         self.outage_ended_at
     }
 
-    /// Records that a peer answered a pull.
-    pub(crate) fn pull_succeeded(&mut self, now: Duration) {
-        self.informed_at = Some(now);
+    /// Records that a peer answered a pull. `next` is the offset of the next record that the peer reads.
+    ///
+    /// A process that has read less than the peer may hold a configuration of long ago.
+    pub(crate) fn pull_succeeded(&mut self, now: Duration, next: Offset) {
+        if self.has_read_until(next) {
+            self.informed_at = Some(now);
+        }
+    }
+
+    /// Reports whether the folded log includes all records before `next`.
+    fn has_read_until(&self, next: Offset) -> bool {
+        self.snapshot_search.is_none() && self.next_offset() >= next
     }
 
     /// Records that the log could not be read.
--- a/crates/membership/tests/model/simulation.rs
+++ b/crates/membership/tests/model/simulation.rs
@@ -204,6 +204,7 @@
         let known = from..node.agent.fleet().next_offset();
         let records = known.map(|offset| (offset, self.log[offset as usize - 1].clone()));
         let event = Event::PeerRecords {
+            next: node.agent.fleet().next_offset(),
             peer: node.vm.clone(),
             records: records.collect(),
         };
--- a/crates/router/src/control/log_reader.rs
+++ b/crates/router/src/control/log_reader.rs
@@ -67,9 +67,10 @@
                 Ok(batch) => {
                     self.shared.record_log_read();
                     self.shared.record_dependency_answer(Dependency::Log, "");
-                    let has_records = !batch.records.is_empty();
+                    let last = batch.records.last();
+                    let is_at_end = last.is_some_and(|last| last.offset + 1 >= batch.next);
                     self.forward(batch);
-                    if has_records {
+                    if is_at_end {
                         let members = self.shared.view().fleet.members().len();
                         thread::sleep(self.pacing.pause(members));
                     }
--- a/crates/router/src/peer_client.rs
+++ b/crates/router/src/peer_client.rs
@@ -58,6 +58,7 @@
                 .into_iter()
                 .map(|record| (record.offset, record.body));
             client.control.send_event(Event::PeerRecords {
+                next: pulled.next,
                 peer,
                 records: records.collect(),
             });
