Probe the connections of calls to the log

Cause: a read of the log or of the operators' topic waits for records for 10 s. On a connection that has gone silent it ends after 12.5 s only, and a manifest or a withdrawn key is not read until then. Peers can give the records of the log, but those of the operators' topic come from the store alone.

Change: calls to the log open their connections with keep-alive probes each second, and fail after two that are not answered. ureq's connector does not give access to its socket, so the connector and the transport of one call are written here, over its interfaces for that.

Ruled out: shorter waits, which cost a store call for each.

Test that failed first: records silent_server::connections_probe_a_peer_that_sends_nothing (reads the timer of the connection from the kernel, since loopback loses no packets).

--- a/crates/records/src/http_calls.rs
+++ b/crates/records/src/http_calls.rs
@@ -9,23 +9,26 @@
 use ureq::Error;
 use ureq::Timeout;
 use ureq::http::Response;
+use ureq::unversioned::resolver::DefaultResolver;
+
+use crate::keep_alive_connector::KeepAliveConnector;
 
 /// Maximum length of a response body in bytes.
 const MAX_BODY_BYTES: u64 = 16 << 20;
 
 /// Creates an agent that opens a new connection for every call, since an idle connection may have
-/// become unresponsive. `connect_timeout` bounds the time to connect; if it is `None`, only the
+/// become unresponsive. A call fails within 3 s if the machine of the server no longer answers. `connect_timeout` bounds the time to connect; if it is `None`, only the
 /// timeout of the whole call applies.
 pub fn unpooled_agent(connect_timeout: Option<Duration>) -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_idle_connections(0)
         .max_idle_connections_per_host(0)
         .max_redirects(0)
         .proxy(None)
         .timeout_connect(connect_timeout)
-        .build()
-        .into()
+        .build();
+    Agent::with_parts(config, KeepAliveConnector, DefaultResolver::default())
 }
 
 /// Reports whether a call failed before any part of it was sent.
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -4,6 +4,8 @@
 mod batch;
 mod http_calls;
 mod http_log;
+mod keep_alive_connector;
+mod keep_alive_transport;
 mod log;
 mod memory_log;
 mod read_error;
--- a/crates/records/tests/records/main.rs
+++ b/crates/records/tests/records/main.rs
@@ -3,3 +3,4 @@
 mod http_log;
 mod log_server;
 mod memory_log;
+mod silent_server;
