Let traffic threads know of a pinned key before its drain

Cause: read, not seen: the view of traffic threads may be a second older than the log, so that a request under the shard of a key could still start after the drain of the pinned key, and before the copy that shows the pin.

Change: a drain of a pinned key copies the fleet first.

Test: cluster fleet_copy::an_expired_copy_is_made_anew_at_once.

--- a/crates/cluster/src/fleet_copy.rs
+++ b/crates/cluster/src/fleet_copy.rs
@@ -23,6 +23,11 @@
 }
 
 impl FleetCopy {
+    /// Makes the next refresh copy the fleet if it has changed.
+    pub fn expire(&mut self) {
+        self.next_copy_at = Duration::ZERO;
+    }
+
     /// Returns a copy of the fleet. Its configuration is that of the fleet; the rest may be out of date until the pause after
     /// the last copy has passed. `clock` returns the time, like `now`.
     pub fn refresh(
--- a/crates/cluster/tests/fleet_copy.rs
+++ b/crates/cluster/tests/fleet_copy.rs
@@ -46,3 +46,15 @@
     assert_eq!(count(&mut copy, Duration::from_millis(1)), 2);
     assert_eq!(count(&mut copy, Duration::from_secs(1)), 3);
 }
+
+#[test]
+fn an_expired_copy_is_made_anew_at_once() {
+    let mut log = Log::with_members(4, &["a", "b"]);
+    let mut copy = FleetCopy::default();
+    let now = Duration::from_secs(1);
+    copy.refresh(&log.fleet, now, || now + COPY_TIME);
+    log.append_applied(join(2, "c"));
+    copy.expire();
+    let copied = copy.refresh(&log.fleet, now + COPY_TIME, || now + COPY_TIME);
+    assert_eq!(copied.members().len(), 3);
+}
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -300,6 +300,10 @@
                 let now = self.parts.shared.clock.now();
                 self.draining
                     .extend(units.iter().map(|unit| (unit.clone(), now)));
+                if units.iter().any(|unit| matches!(unit, Unit::Pinned { .. })) {
+                    // Requests that wait under the shard of a pinned key start until traffic threads know of the pin.
+                    self.fleet_copy.expire();
+                }
                 self.publish_view();
                 self.parts.home.drain(units);
             }
