--- a/crates/cluster/src/fleet_copy.rs
+++ b/crates/cluster/src/fleet_copy.rs
@@ -7,8 +7,8 @@
 
 /// Pause between two copies, as a multiple of the time that a copy takes.
 ///
-/// It bounds the time spent on copies to a twentieth of the control thread's time while copies take less than a twentieth of
-/// [`MAX_PAUSE`], however fast the log grows.
+/// It bounds the time spent on copies to a twentieth of the control thread's time, however fast the log grows, as long as a
+/// copy takes less than a twentieth of [`MAX_PAUSE`].
 const PAUSE_FACTOR: u32 = 19;
 
 /// Longest pause between two copies. A copy can take long on a machine that is short of processor time, and an outdated one
--- a/crates/httpd/src/limited_stream.rs
+++ b/crates/httpd/src/limited_stream.rs
@@ -23,8 +23,8 @@
 /// zeros in the size of a chunk without end.
 const MAX_FRAMING_FACTOR: usize = 8;
 
-/// TCP stream whose reads fail when headers exceed their size limit or timeout or a body its size limit, and whose writes fail when the client
-/// reads its answer too slowly.
+/// TCP stream whose reads fail when headers exceed their size limit or timeout, or a body its size limit, and whose writes
+/// fail when the client reads its answer too slowly.
 #[derive(Debug)]
 pub(crate) struct LimitedStream {
     answer_timeout: Duration,
--- a/crates/records/src/http_calls.rs
+++ b/crates/records/src/http_calls.rs
@@ -17,8 +17,9 @@
 const MAX_BODY_BYTES: u64 = 16 << 20;
 
 /// Creates an agent that opens a new connection for every call, since an idle connection may have
-/// become unresponsive. A call fails within 3 s if the machine of the server no longer answers. `connect_timeout` bounds the time to connect; if it is `None`, only the
-/// timeout of the whole call applies.
+/// become unresponsive. A call fails within 3 s if the machine of the server no longer answers.
+/// `connect_timeout` bounds the time to connect; if it is `None`, only the timeout of the whole call
+/// applies.
 pub fn unpooled_agent(connect_timeout: Option<Duration>) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
