Publish a newer manifest before the process has joined

Change: a process that has read the log publishes a newer manifest also before it has joined, in its turn. The first manifest is still left to members.

Test that failed first: membership declarations::*.

--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -22,7 +22,7 @@
         }
     }
 
-    /// Publishes the declarations of operators to the log. Members take turns, and only the first record takes effect.
+    /// Publishes the declarations of operators to the log. Processes take turns, and only the first record takes effect.
     pub(crate) fn publish_declarations(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let is_pending = |body: &Body| matches!(body, Body::Publish { .. } | Body::Zone { .. });
         if !self.log.is_healthy(now)
--- a/crates/membership/src/agent_lifecycle.rs
+++ b/crates/membership/src/agent_lifecycle.rs
@@ -22,7 +22,13 @@
             MemberState::Absent(absent) if self.may_join(now, absent.not_before) => {
                 self.join(now, actions);
             }
-            MemberState::Absent(_) | MemberState::Joining(_) => {}
+            MemberState::Absent(_) | MemberState::Joining(_) => {
+                // After a restart of all processes, none is a member yet. The first manifest is left to members, so that
+                // all of them share the units.
+                if self.log.fleet().revision() > 0 {
+                    self.publish_declarations(now, actions);
+                }
+            }
             MemberState::Active(_)
                 if !self.is_joined_for_upstream() || self.has_too_many_ranges(now) =>
             {
--- /dev/null
+++ b/crates/membership/tests/declarations.rs
@@ -0,0 +1,83 @@
+//! Publication of the declarations of operators by a process that has just started.
+
+use std::time::Duration;
+
+use cluster::Body;
+use cluster::Document;
+use cluster::LEASE;
+use cluster::Record;
+use config::Manifest;
+use membership::Action;
+use membership::Agent;
+use membership::AgentSettings;
+use membership::Event;
+use membership::OperatorDeclarations;
+
+/// Time by which the only process must have published.
+const DEADLINE: Duration = Duration::from_secs(1);
+
+fn manifest(revision: u64) -> Manifest {
+    Manifest {
+        revision,
+        ..Manifest::default()
+    }
+}
+
+fn agent() -> Agent {
+    Agent::new(AgentSettings {
+        lease: LEASE,
+        load_tolerance: None,
+        log_wait: Duration::from_secs(10),
+        peer: "10.0.0.1:7000".parse().unwrap(),
+        region: "r".to_owned(),
+        retention: None,
+        seed: 7,
+        vm: "vm-1".to_owned(),
+        zone: "z".to_owned(),
+    })
+}
+
+/// Returns the revisions that a process without an upstream publishes after it has read the log.
+fn published_revisions(log: Vec<(u64, String)>) -> Vec<u64> {
+    let mut agent = agent();
+    let now = Duration::from_millis(100);
+    let next = log.len() as u64 + 1;
+    let mut actions = agent.handle(now, Event::Records { next, records: log });
+    let declared = OperatorDeclarations {
+        manifest: Some(Box::new(manifest(2))),
+        ..OperatorDeclarations::default()
+    };
+    actions.extend(agent.handle(now, Event::Declared(declared)));
+    actions.extend(agent.handle(DEADLINE, Event::Tick));
+    let published = actions.into_iter().filter_map(|action| match action {
+        Action::Append(Record {
+            body:
+                Body::Publish {
+                    document: Document::Manifest(manifest),
+                    ..
+                },
+            ..
+        }) => Some(manifest.revision),
+        _ => None,
+    });
+    published.collect()
+}
+
+#[test]
+fn a_process_that_has_not_joined_publishes_a_newer_manifest() {
+    let first = Record {
+        body: Body::Publish {
+            base: 0,
+            document: Document::Manifest(Box::new(manifest(1))),
+        },
+        id: "record-1".to_owned(),
+        writer: "vm-2".to_owned(),
+    };
+    let log = vec![(1, serde_json::to_string(&first).unwrap())];
+    assert_eq!(published_revisions(log), [2]);
+}
+
+#[test]
+fn the_first_manifest_is_left_to_members() {
+    assert_eq!(published_revisions(Vec::new()), [] as [u64; 0]);
+}
