Refuse pulls of records at a process that cannot vouch for its own

What callers saw: a process cut off from the log and from its witnesses went on deciding requests by the configuration that it last knew, without any bound: its 404 and 401 may concern routes and keys that have long been declared.

Cause: a process without knowledge of its own answered a pull with no records, and with the offset that it had read to as `next`. The process that pulled took this as proof that it had read as far as its peer, also where the peer had read nothing (`next` 0). Two such processes could keep each other informed for ever.

Change: such a pull is refused. Only replies from processes that know the log from the log itself or from their witnesses count.

Test: a_process_is_not_informed_by_peers_that_have_read_nothing (mesh) failed before (60 s without becoming uninformed) and takes 10 s now.

--- a/crates/router/src/links/peer_service.rs
+++ b/crates/router/src/links/peer_service.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use ids::Unit;
+use policy::Reason;
 use wire::Call;
 use wire::Dispatch;
 use wire::Handover;
@@ -98,13 +99,16 @@
 
     fn pull(&self, pull: PullRecords) -> Reply {
         let view = self.shared.view();
-        // A process that gets the log's records only from peers serves none, since peers would treat them as records that
-        // were just read from the log.
-        let max = if view.can_answer_pulls {
-            pull.max.min(MAX_PULLED_RECORDS) as usize
-        } else {
-            0
-        };
+        // A peer takes a reply as proof that it knows what is in force if it has read as far as this process. That holds only
+        // while this process has knowledge that does not come from peers alone.
+        if !view.can_answer_pulls {
+            return Reply::Refused(Refused {
+                reason: Reason::Uninformed.as_str().to_owned(),
+                not_run: true,
+                retry_after_ms: 0,
+            });
+        }
+        let max = pull.max.min(MAX_PULLED_RECORDS) as usize;
         let records = self.shared.records.read(pull.from, max);
         Reply::PulledRecords(PulledRecords {
             records: records
