Forward idempotency keys where the platform gives them no meaning

What callers saw: a request with an `idempotency-key` header that is no UUID of version 7 got 400. On the platform, that header is one of those that are only forwarded.

Cause: `Dialect::has_idempotency_keys` kept stored answers from moving with a unit, but the entry read the header all the same.

Test: an_idempotency_key_that_has_no_meaning_here_is_forwarded_and_refuses_no_request (mesh) failed before with 400.

--- a/crates/router/src/entry/caller_request.rs
+++ b/crates/router/src/entry/caller_request.rs
@@ -93,7 +93,10 @@
             caller_timeout,
             max_attempts: matched.max_attempts,
             content_type: header(&head.headers, &CONTENT_TYPE)?,
-            idempotency_key: header(&head.headers, &IDEMPOTENCY_HEADER)?,
+            idempotency_key: match dialect.has_idempotency_keys {
+                true => header(&head.headers, &IDEMPOTENCY_HEADER)?,
+                false => None,
+            },
             is_idempotent: matched.idempotent,
             is_open: matched.open,
             key: key.filter(|_| service_config.is_keyed()),
