Answer a request without time left with 504 in place of 400

What callers saw: 400 for a time limit of 0 and for one with a fraction of a millisecond. A caller does not repeat a request after 400, and takes it for malformed.

Cause: only whole numbers above 0 were read. Now a fraction is dropped, and 0 is answered as a time limit that has passed, without running the request. Anything that is no decimal number is still answered with 400.

Test: a_time_limit_that_has_passed_or_has_a_fraction_is_not_a_malformed_header (mesh) failed before with 400.

--- a/crates/router/src/entry/caller_request.rs
+++ b/crates/router/src/entry/caller_request.rs
@@ -285,9 +285,20 @@
     let Some(text) = header(headers, name)? else {
         return Ok(limits.default_deadline());
     };
-    let milliseconds = text.parse().map_err(|_| Reason::BadHeader)?;
-    if milliseconds == 0 {
-        return Err(Reason::BadHeader);
+    match whole_milliseconds(&text) {
+        Some(0) => Err(Reason::DeadlinePassed),
+        Some(milliseconds) => Ok(Duration::from_millis(milliseconds).min(limits.max_deadline())),
+        None => Err(Reason::BadHeader),
+    }
+}
+
+/// Parses a decimal number, and drops its fraction.
+fn whole_milliseconds(text: &str) -> Option<u64> {
+    let is_number =
+        |digits: &str| !digits.is_empty() && digits.bytes().all(|digit| digit.is_ascii_digit());
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    if !is_number(whole) || !is_number(fraction) {
+        return None;
     }
-    Ok(Duration::from_millis(milliseconds).min(limits.max_deadline()))
+    whole.parse().ok()
 }
