Accept requests with up to 1,024 headers

What callers saw: 431, with neither a reason nor the id of the request, for more than 100 headers, however short.

Cause: hyper's default for the number of headers. The size limit (`limits.header_bytes`) stays as it was.

Test: a_request_with_many_short_headers_is_forwarded (mesh, 300 headers) failed before with 431.

--- a/crates/httpd/src/connection.rs
+++ b/crates/httpd/src/connection.rs
@@ -28,6 +28,9 @@
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
 
+/// Maximum number of headers of a request. Their total size is limited besides.
+const MAX_HEADERS: usize = 1_024;
+
 /// Time that an idle connection stays open after the server stops, for requests already in flight.
 const IDLE_GRACE: Duration = Duration::from_millis(250);
 
@@ -51,6 +54,7 @@
     let mut conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+        .max_headers(MAX_HEADERS)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES) + MIN_BUFFER_BYTES)
         .serve_connection(TokioIo::new(io), service);
     let stopping = async {
