Count requests that are refused before they are read by their reason

What operators saw: one event, `caller` `turned-away`, for a body that is too large or was cut short, headers that are too large, a slow caller and too many connections alike. A rise of 400, 413 or 431 could not be told from one of 503.

Change: `requests_total` counts them as well, under their reason and no route. What hyper answers by itself (bytes that are no request) is still not counted.

Test: a_request_that_is_refused_before_it_is_read_is_counted_by_its_reason (mesh) failed before.

--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -15,6 +15,7 @@
 use policy::AdmittedRequest;
 use policy::AuthenticatedRequest;
 use policy::Fingerprint;
+use policy::Outcome;
 use policy::Reason;
 use policy::ReceivedRequest;
 use policy::RecentRefusals;
@@ -37,6 +38,7 @@
 use crate::entry::responses::answer_response;
 use crate::entry::responses::refusal_response;
 use crate::entry::responses::rejection_response;
+use crate::entry::responses::rejection_status;
 use crate::limits::WorkspaceLimiters;
 use crate::quarantine::suspicion_level;
 use crate::shared::Shared;
@@ -75,8 +77,11 @@
     }
 
     fn refuse(&self, reason: RefusalReason) -> Response<Bytes> {
-        self.shared.metrics.count_event("caller", "turned-away");
-        rejection_response(&self.shared.dialect, reason)
+        let metrics = &self.shared.metrics;
+        metrics.count_event("caller", "turned-away");
+        let (status, cause) = rejection_status(reason);
+        metrics.count_request("", Outcome::NotRun.as_str(), cause.as_str());
+        rejection_response(&self.shared.dialect, status, cause, reason)
     }
 }
 
--- a/crates/router/src/entry/responses.rs
+++ b/crates/router/src/entry/responses.rs
@@ -78,12 +78,9 @@
     response
 }
 
-/// Returns the response to a request that was rejected before it was received completely.
-pub(crate) fn rejection_response(
-    dialect: &Dialect,
-    refusal_reason: RefusalReason,
-) -> Response<Bytes> {
-    let (status, reason) = match refusal_reason {
+/// Returns the status and the reason of a rejection.
+pub(crate) fn rejection_status(refusal_reason: RefusalReason) -> (StatusCode, Reason) {
+    match refusal_reason {
         RefusalReason::BodyTooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, Reason::BodyTooLarge),
         RefusalReason::BodyTruncated => (StatusCode::BAD_REQUEST, Reason::BadHeader),
         RefusalReason::Busy | RefusalReason::TooManyConnections { .. } => {
@@ -94,7 +91,16 @@
             Reason::HeaderTooLarge,
         ),
         RefusalReason::Timeout { .. } => (StatusCode::REQUEST_TIMEOUT, Reason::DeadlinePassed),
-    };
+    }
+}
+
+/// Returns the response to a request that was rejected before it was received completely.
+pub(crate) fn rejection_response(
+    dialect: &Dialect,
+    status: StatusCode,
+    reason: Reason,
+    refusal_reason: RefusalReason,
+) -> Response<Bytes> {
     build_refusal(
         dialect,
         status,
