Authorize a request under the view that its route was found in

The entry found the route in one view and loaded the next one to check that the plan of the workspace grants its service. A manifest that moved the route and dropped the service in between gave 403, which neither manifest justifies.

Found by reading.

--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -127,7 +127,7 @@
             .map(|credentials| credentials.workspace.clone());
         tracker.record_workspace(workspace.as_ref(), &view.fleet);
         let authenticated = received.authenticate(workspace);
-        let authenticated = self.authorize(authenticated, &request)?;
+        let authenticated = self.authorize(&view, authenticated, &request)?;
         let fingerprint = request.fingerprint(authenticated.workspace().map(String::as_str));
         let first_arrived = self.record_arrival(now, &request, &fingerprint, tracker);
         let admitted = self.admit(authenticated, credentials.as_ref()).await?;
@@ -197,13 +197,14 @@
         }
     }
 
-    /// Checks that the plan of the workspace grants the service, and that the idempotency key is valid.
+    /// Checks that the plan of the workspace grants the service, and that the idempotency key is valid. The plan is of the
+    /// same view as the route, since a service that the route goes to need not be declared in a later one.
     fn authorize(
         &self,
+        view: &View,
         authenticated: AuthenticatedRequest,
         request: &CallerRequest,
     ) -> Result<AuthenticatedRequest, Refusal> {
-        let view = self.shared.view();
         let workspace = authenticated.workspace().cloned();
         if let Some(workspace) = &workspace
             && !request.is_open
