Claim that a route or key is absent only while the log is read

Cause: a process counts as informed while it has contact with its witnesses, so that live keys are served through an outage of the log. Contact says nothing about how far the witnesses have read. Processes that all lack the newer manifests confirm each other, and each takes what its configuration lacks as not declared.

Change: a request is refused as not granted, unauthenticated or without a route only if the log answers and all of it has been read. Otherwise the refusal is `uninformed`, 503 and not run. What is declared goes on being served.

That no process reads the log after a restore is another fault; with this change such a fleet still serves by its old manifest, and refuses the rest as not run.

--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -192,6 +192,13 @@
         self.log.is_informed(now) || self.has_recent_contact(now)
     }
 
+    /// Reports whether the log answers and all of it has been read, so that what the configuration lacks is not in force.
+    ///
+    /// Contact with witnesses does not suffice: they may be as far behind.
+    pub fn is_up_to_date(&self, now: Duration) -> bool {
+        self.log.is_healthy(now)
+    }
+
     /// Reports whether the process may answer a pull of a peer: its information comes from the log or
     /// from its witnesses, and not from peers alone.
     pub fn can_answer_pulls(&self, now: Duration) -> bool {
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -365,6 +365,7 @@
             can_answer_pulls: agent.can_answer_pulls(now),
             fleet,
             is_informed: agent.is_informed(now),
+            is_up_to_date: agent.is_up_to_date(now),
             request_deadline: agent.request_deadline(),
             serving,
             status,
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -110,7 +110,7 @@
         }
         let request =
             CallerRequest::parse(req, view.fleet.plans(), &self.shared, &self.traffic_splits)
-                .map_err(ReceivedRequest::refuse_unreadable)?;
+                .map_err(|reason| ReceivedRequest::refuse_unreadable(view.known_reason(reason)))?;
         tracker.record_request(&request);
         let received = ReceivedRequest::new(request.head(request_id.to_owned(), now));
         let credentials = match Credentials::from_headers(&request.headers, &view.fleet) {
@@ -120,7 +120,11 @@
         };
         let credentials = match credentials {
             Ok(credentials) => credentials,
-            Err(reason) => return Err(received.refuse(reason, None)),
+            Err(reason) => {
+                return Err(ReceivedRequest::refuse_unreadable(
+                    view.known_reason(reason),
+                ));
+            }
         };
         let workspace = credentials
             .as_ref()
@@ -212,7 +216,7 @@
             let plan = view.fleet.plan_of(workspace);
             let is_granted = plan.is_some_and(|plan| plan.services.contains(&request.service));
             if !is_granted {
-                return Err(authenticated.refuse(Reason::NotGranted, None));
+                return Err(authenticated.refuse(view.known_reason(Reason::NotGranted), None));
             }
         }
         match request.check_idempotency_key(workspace.as_deref().unwrap_or_default()) {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -77,6 +77,7 @@
             can_answer_pulls: false,
             fleet: Arc::new(Fleet::default()),
             is_informed: false,
+            is_up_to_date: false,
             request_deadline: None,
             serving: Arc::default(),
             status: Arc::new(agent.status(Duration::ZERO)),
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -9,6 +9,7 @@
 use ids::Unit;
 use membership::Announcement;
 use membership::Status;
+use policy::Reason;
 
 /// State of the fleet and of this process, published by the control thread as a whole.
 #[derive(Clone, Debug)]
@@ -20,6 +21,8 @@
     pub(crate) fleet: Arc<Fleet>,
     /// Whether this process can know which keys are withdrawn. Requests are refused while it cannot.
     pub(crate) is_informed: bool,
+    /// Whether all of the log has been read, so that a route or key that the configuration lacks is not in force.
+    pub(crate) is_up_to_date: bool,
     /// Time by which requests that are dispatched now must have ended, or `None` if the upstream enforces that itself.
     pub(crate) request_deadline: Option<Duration>,
     /// Units whose requests this process may dispatch, with their fences.
@@ -29,3 +32,18 @@
     /// Announcement of the accepted upstream.
     pub(crate) upstream: Option<Arc<Announcement>>,
 }
+
+impl View {
+    /// Returns the reason to refuse a request with, in place of one that states that something is not declared while this
+    /// process cannot know what has been declared in the meantime.
+    pub(crate) fn known_reason(&self, reason: Reason) -> Reason {
+        match reason {
+            Reason::NotGranted | Reason::Unauthenticated | Reason::UnknownRoute
+                if !self.is_up_to_date =>
+            {
+                Reason::Uninformed
+            }
+            other => other,
+        }
+    }
+}
