End reads that the store has lost

Cause: a read that waits for records and is sent while the store is silent, or whose answer falls due then, is never answered. Its process learns of it by the time limit of the read, 12.5 s after it was sent. Keep-alive probes do not show it, since the machine of the store answers them. Records wake all processes, so that they all send such reads together.

Change: a call without an answer ends the reads of its process that wait for records, since they may be lost too. So does a record that a read has not returned, though the process's own append was accepted or a peer has read further, after 300 ms and 2 ms more for each member; reads whose answer has begun to arrive go on. The read that follows does not wait, and cannot be ended, so that no process repeats more than one read. Nothing is sent that was not sent before while the store answers.

--- a/crates/membership/src/action.rs
+++ b/crates/membership/src/action.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use cluster::Record;
 use ids::Offset;
@@ -35,6 +36,12 @@
         /// The units.
         units: BTreeSet<Unit>,
     },
+    /// Ends the reads of the log that have waited for records for `age` or longer, because the log holds records that they
+    /// should have returned.
+    EndOverdueReads {
+        /// The age.
+        age: Duration,
+    },
     /// Sends a grant to the local upstream.
     Grant(Grant),
     /// Samples the clock of the local upstream.
--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -20,6 +20,7 @@
 use crate::LogState;
 use crate::MemberState;
 use crate::OperatorDeclarations;
+use crate::OverdueReads;
 use crate::OwnedUnits;
 use crate::PendingAppends;
 use crate::Phase;
@@ -46,6 +47,7 @@
     pub(crate) lease: Lease,
     pub(crate) loads: LoadView,
     pub(crate) log: LogState,
+    pub(crate) overdue_reads: OverdueReads,
     pub(crate) owned_units: OwnedUnits,
     pub(crate) rejoin_backoff: Duration,
     pub(crate) schedule: Schedule,
@@ -72,6 +74,7 @@
             lease: Lease::new(lease),
             loads: LoadView::default(),
             log: LogState::new(log_wait),
+            overdue_reads: OverdueReads::default(),
             owned_units: OwnedUnits::default(),
             rejoin_backoff: REJOIN_BACKOFF,
             schedule: Schedule::default(),
@@ -99,6 +102,7 @@
     fn apply_event(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Announced(announcement) => self.upstream.record_announcement(now, announcement),
+            Event::Appended => self.overdue_reads.record_append(self.appends.len()),
             Event::CheckedIn(check_in) => self.handle_check_in(now, &check_in, actions),
             Event::ClockSampled { clock_ms, instance } => {
                 self.upstream.record_clock_sample(now, &instance, clock_ms);
@@ -141,6 +145,7 @@
         self.upstream.tick(now, was_paused);
         self.report_suspicions(now, was_paused, actions);
         self.appends.retry_due(now, actions);
+        self.end_overdue_reads(now, actions);
         self.write_snapshot(now, actions);
         self.pull_from_any(now, actions);
     }
--- a/crates/membership/src/agent_log.rs
+++ b/crates/membership/src/agent_log.rs
@@ -14,6 +14,8 @@
 use crate::LeaveReason;
 use crate::MemberState;
 use crate::times::LOST_REWITNESS_DELAY;
+use crate::times::READ_OVERDUE_AFTER;
+use crate::times::READ_OVERDUE_PER_MEMBER;
 use crate::times::REJOIN_BACKOFF;
 use crate::times::REJOIN_BACKOFF_MAX;
 use crate::times::RETENTION_DIVISOR;
@@ -142,6 +144,17 @@
         self.witnesses = crate::Witnesses::default();
     }
 
+    /// Ends the reads that have not returned records which the log is known to hold.
+    pub(crate) fn end_overdue_reads(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let pending = self.appends.len();
+        let next = self.log.next_offset();
+        let members = u32::try_from(self.log.fleet().members().len()).unwrap_or(u32::MAX);
+        let age = READ_OVERDUE_AFTER + READ_OVERDUE_PER_MEMBER.saturating_mul(members);
+        if self.overdue_reads.are_due(now, age, next, pending) {
+            actions.push(Action::EndOverdueReads { age });
+        }
+    }
+
     /// Writes a snapshot of the folded log when it is this member's turn.
     pub(crate) fn write_snapshot(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let is_pending = |body: &Body| matches!(body, Body::SnapshotChunk { .. });
--- a/crates/membership/src/agent_witness.rs
+++ b/crates/membership/src/agent_witness.rs
@@ -29,6 +29,7 @@
         let Some(witness_incarnation) = self.state.witness_incarnation() else {
             return;
         };
+        self.overdue_reads.record_peer(heartbeat.next);
         let contact = self
             .watched_members
             .record_heartbeat(now, self.log.fleet(), heartbeat);
@@ -59,6 +60,7 @@
         if self.state.witness_incarnation() == Some(answer.incarnation) {
             self.lease.record_answer(answer);
         }
+        self.overdue_reads.record_peer(answer.next);
         if answer.next <= self.log.next_offset() {
             self.schedule.behind_since = None;
             return;
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -23,6 +23,8 @@
 pub enum Event {
     /// The local upstream announced itself.
     Announced(Announcement),
+    /// The log accepted records of this process.
+    Appended,
     /// The local upstream, which polls its grants, checked in.
     CheckedIn(CheckIn),
     /// The local upstream answered a probe of its clock.
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -117,6 +117,12 @@
 /// Maximum number of units that a member that stops or is taken out moves at a time.
 pub(crate) const EVACUATION_BUDGET: usize = 256;
 
+/// Time after which a read of the log that has not returned a known record counts as lost, in a fleet of one member.
+pub(crate) const READ_OVERDUE_AFTER: Duration = Duration::from_millis(300);
+
+/// Time by which each member prolongs `READ_OVERDUE_AFTER`. All members read a record at the same time.
+pub(crate) const READ_OVERDUE_PER_MEMBER: Duration = Duration::from_millis(2);
+
 /// Time after which a member that has read less of the log than its witnesses pulls records from them.
 pub(crate) const PULL_AFTER_LAG: Duration = Duration::from_millis(700);
 
--- a/crates/records/src/http_calls.rs
+++ b/crates/records/src/http_calls.rs
@@ -1,6 +1,7 @@
 //! HTTP helpers for clients of a log.
 
 use std::io::ErrorKind;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
@@ -11,6 +12,7 @@
 use ureq::http::Response;
 use ureq::unversioned::resolver::DefaultResolver;
 
+use crate::WaitingCalls;
 use crate::keep_alive_connector::KeepAliveConnector;
 
 /// Maximum length of a response body in bytes.
@@ -21,6 +23,11 @@
 /// `connect_timeout` bounds the time to connect; if it is `None`, only the timeout of the whole call
 /// applies.
 pub fn unpooled_agent(connect_timeout: Option<Duration>) -> Agent {
+    waiting_agent(connect_timeout).0
+}
+
+/// Creates an agent like [`unpooled_agent`], and returns it with its calls that wait for their response.
+pub fn waiting_agent(connect_timeout: Option<Duration>) -> (Agent, Arc<WaitingCalls>) {
     let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_idle_connections(0)
@@ -29,7 +36,10 @@
         .proxy(None)
         .timeout_connect(connect_timeout)
         .build();
-    Agent::with_parts(config, KeepAliveConnector, DefaultResolver::default())
+    let calls = Arc::new(WaitingCalls::default());
+    let connector = KeepAliveConnector::new(Arc::clone(&calls));
+    let agent = Agent::with_parts(config, connector, DefaultResolver::default());
+    (agent, calls)
 }
 
 /// Reports whether a call failed before any part of it was sent.
--- a/crates/records/src/http_log.rs
+++ b/crates/records/src/http_log.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the log service.
 
+use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -14,9 +15,11 @@
 use crate::Batch;
 use crate::Log;
 use crate::ReadError;
+use crate::WaitingCalls;
 use crate::http_calls::failed_before_sending;
 use crate::http_calls::read_json;
 use crate::http_calls::unpooled_agent;
+use crate::http_calls::waiting_agent;
 
 /// HTTP client of the log service, which is reachable at any of several addresses.
 ///
@@ -27,6 +30,9 @@
     agent: Agent,
     preferred: AtomicUsize,
     timeout: Duration,
+    /// Agent of reads that wait for records.
+    waiting_agent: Agent,
+    waiting_reads: Arc<WaitingCalls>,
 }
 
 #[derive(Deserialize)]
@@ -51,6 +57,7 @@
     ///
     /// An attempt is aborted after `timeout`. For reads, the time to wait for records is added.
     pub fn new(addresses: Vec<String>, timeout: Duration) -> Self {
+        let (waiting_agent, waiting_reads) = waiting_agent(None);
         Self {
             addresses: addresses
                 .into_iter()
@@ -59,6 +66,8 @@
             agent: unpooled_agent(None),
             preferred: AtomicUsize::new(0),
             timeout,
+            waiting_agent,
+            waiting_reads,
         }
     }
 
@@ -102,8 +111,11 @@
     fn read_at(&self, address: &str, from: Offset, max: usize, wait: Duration) -> ReadAttempt {
         let wait_ms = wait.as_millis();
         let url = format!("{address}/v1/records?from={from}&max={max}&wait_ms={wait_ms}");
-        let res = self
-            .agent
+        let agent = match wait.is_zero() {
+            true => &self.agent,
+            false => &self.waiting_agent,
+        };
+        let res = agent
             .get(url)
             .config()
             .timeout_global(Some(self.timeout + wait))
@@ -142,6 +154,7 @@
                 Err(AppendError::Refused(reason)) => refusals.push(reason),
                 Err(error) => {
                     self.set_preferred(index + 1);
+                    self.end_overdue_reads(Duration::ZERO);
                     return Err(error);
                 }
             }
@@ -173,6 +186,10 @@
         }
         Err(ReadError::Unavailable(failures.join("; ")))
     }
+
+    fn end_overdue_reads(&self, age: Duration) -> usize {
+        self.waiting_reads.end(age)
+    }
 }
 
 fn base_url(address: &str) -> String {
--- a/crates/records/src/keep_alive_connector.rs
+++ b/crates/records/src/keep_alive_connector.rs
@@ -3,6 +3,8 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -12,6 +14,8 @@
 use ureq::unversioned::transport::ConnectionDetails;
 use ureq::unversioned::transport::Connector;
 
+use crate::WaitingCalls;
+use crate::connection::Connection;
 use crate::keep_alive_transport::KeepAliveTransport;
 
 /// Time without traffic after which the peer is probed, and time between two probes.
@@ -25,7 +29,16 @@
 /// A read of the log waits for records for many seconds. Without probes it would wait as long on a connection that
 /// something between the two ends has lost track of. ureq's own connector does not give access to its socket.
 #[derive(Debug)]
-pub(crate) struct KeepAliveConnector;
+pub(crate) struct KeepAliveConnector {
+    calls: Arc<WaitingCalls>,
+}
+
+impl KeepAliveConnector {
+    /// Creates a connector that adds each of its connections to `calls`.
+    pub(crate) fn new(calls: Arc<WaitingCalls>) -> Self {
+        Self { calls }
+    }
+}
 
 impl Connector for KeepAliveConnector {
     type Out = KeepAliveTransport;
@@ -43,8 +56,12 @@
                 break;
             }
         }
-        let stream = result?;
-        Ok(Some(KeepAliveTransport::new(stream, details.config)))
+        let connection = Arc::new(Connection {
+            has_response: AtomicBool::new(false),
+            stream: result?,
+        });
+        self.calls.add(&connection);
+        Ok(Some(KeepAliveTransport::new(connection, details.config)))
     }
 }
 
--- a/crates/records/src/keep_alive_transport.rs
+++ b/crates/records/src/keep_alive_transport.rs
@@ -3,7 +3,8 @@
 use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
-use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use ureq::Error;
 use ureq::config::Config;
@@ -12,18 +13,20 @@
 use ureq::unversioned::transport::NextTimeout;
 use ureq::unversioned::transport::Transport;
 
+use crate::connection::Connection;
+
 /// A TCP connection of [`crate::keep_alive_connector::KeepAliveConnector`], which is used for one call.
 #[derive(Debug)]
 pub(crate) struct KeepAliveTransport {
     buffers: LazyBuffers,
-    stream: TcpStream,
+    connection: Arc<Connection>,
 }
 
 impl KeepAliveTransport {
-    pub(crate) fn new(stream: TcpStream, cfg: &Config) -> Self {
+    pub(crate) fn new(connection: Arc<Connection>, cfg: &Config) -> Self {
         Self {
             buffers: LazyBuffers::new(cfg.input_buffer_size(), cfg.output_buffer_size()),
-            stream,
+            connection,
         }
     }
 }
@@ -35,24 +38,25 @@
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
         let time_limit = timeout.not_zero().map(|time_limit| *time_limit);
-        self.stream.set_write_timeout(time_limit)?;
+        self.connection.stream.set_write_timeout(time_limit)?;
         let output = &self.buffers.output()[..amount];
-        self.stream
+        (&self.connection.stream)
             .write_all(output)
             .map_err(|error| io_error(error, timeout))
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
         let time_limit = timeout.not_zero().map(|time_limit| *time_limit);
-        self.stream.set_read_timeout(time_limit)?;
+        self.connection.stream.set_read_timeout(time_limit)?;
         let input = self.buffers.input_append_buf();
         let count = loop {
-            match self.stream.read(input) {
+            match (&self.connection.stream).read(input) {
                 Ok(count) => break count,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(io_error(error, timeout)),
             }
         };
+        self.connection.has_response.store(true, Ordering::Relaxed);
         self.buffers.input_appended(count);
         Ok(count > 0)
     }
--- a/crates/records/src/log.rs
+++ b/crates/records/src/log.rs
@@ -37,4 +37,12 @@
     /// Returns [`ReadError::Expired`] if the log no longer keeps the record at `from`, and
     /// [`ReadError::Unavailable`] if the log cannot be read.
     fn read(&self, from: Offset, max: usize, wait: Duration) -> Result<Batch, ReadError>;
+
+    /// Ends the reads that have waited for records for `age` or longer, because the log is known to hold records that
+    /// they should have returned. They fail with [`ReadError::Unavailable`]. Returns their number.
+    ///
+    /// A log whose reads cannot be lost need not do anything.
+    fn end_overdue_reads(&self, _age: Duration) -> usize {
+        0
+    }
 }
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -18,6 +18,7 @@
 use membership::CheckInAnswer;
 use membership::Event;
 use membership::Status;
+use records::Log;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
@@ -66,6 +67,7 @@
     pub(crate) cursor: Arc<AtomicU64>,
     pub(crate) datagrams: DatagramSocket,
     pub(crate) home: Arc<Home>,
+    pub(crate) log: Arc<dyn Log>,
     pub(crate) trace_writer: Option<TraceWriter>,
     pub(crate) shared: Arc<Shared>,
     pub(crate) stopped: CancellationToken,
@@ -307,6 +309,13 @@
                 self.publish_view();
                 self.parts.home.drain(units);
             }
+            Action::EndOverdueReads { age } => {
+                if self.parts.log.end_overdue_reads(age) > 0 {
+                    log::warn!(
+                        "a read of the log was lost, since the log holds newer records: it is repeated"
+                    );
+                }
+            }
             Action::Grant(grant) => self.parts.upstream.send_grant(grant),
             Action::Probe => self.parts.upstream.sample_clock(),
             Action::Pull {
--- a/crates/router/src/control/log_writer.rs
+++ b/crates/router/src/control/log_writer.rs
@@ -8,9 +8,11 @@
 use std::thread;
 
 use cluster::Record;
+use membership::Event;
 use records::Log;
 use telemetry::Dependency;
 
+use crate::control::ControlSender;
 use crate::shared::Shared;
 
 /// Capacity of the append queue. Further records are dropped, since unconfirmed records are appended again.
@@ -32,10 +34,14 @@
     /// # Errors
     ///
     /// Returns an error when the system cannot start a thread.
-    pub(crate) fn start(log: Arc<dyn Log>, shared: Arc<Shared>) -> std::io::Result<Self> {
+    pub(crate) fn start(
+        log: Arc<dyn Log>,
+        shared: Arc<Shared>,
+        control: ControlSender,
+    ) -> std::io::Result<Self> {
         let (tx, rx) = sync_channel(MAX_QUEUED_RECORDS);
         let builder = thread::Builder::new().name("log-writer".to_owned());
-        builder.spawn(move || run(&*log, &shared, &rx))?;
+        builder.spawn(move || run(&*log, &shared, &control, &rx))?;
         Ok(Self { tx })
     }
 
@@ -48,7 +54,7 @@
 }
 
 /// Appends queued records in batches, so that many records take little longer than one when the log service is slow.
-fn run(log: &dyn Log, shared: &Shared, rx: &Receiver<Record>) {
+fn run(log: &dyn Log, shared: &Shared, control: &ControlSender, rx: &Receiver<Record>) {
     while let Ok(first) = rx.recv() {
         let records = iter::once(first).chain(rx.try_iter());
         let mut batch = Vec::new();
@@ -58,17 +64,17 @@
                 continue;
             };
             if bytes.len() > MAX_BATCHED_RECORD_BYTES {
-                append_batch(log, shared, &std::mem::take(&mut batch));
-                append_batch(log, shared, &[bytes]);
+                append_batch(log, shared, control, &std::mem::take(&mut batch));
+                append_batch(log, shared, control, &[bytes]);
             } else {
                 batch.push(bytes);
             }
         }
-        append_batch(log, shared, &batch);
+        append_batch(log, shared, control, &batch);
     }
 }
 
-fn append_batch(log: &dyn Log, shared: &Shared, records: &[Vec<u8>]) {
+fn append_batch(log: &dyn Log, shared: &Shared, control: &ControlSender, records: &[Vec<u8>]) {
     if records.is_empty() {
         return;
     }
@@ -76,7 +82,10 @@
         .control_traffic
         .count_log_call(records.iter().map(Vec::len).sum());
     match log.append_all(records) {
-        Ok(()) => shared.record_dependency_answer(Dependency::LogWrites, ""),
+        Ok(()) => {
+            shared.record_dependency_answer(Dependency::LogWrites, "");
+            control.send_event(Event::Appended);
+        }
         Err(error) => {
             shared.record_dependency_failure(Dependency::LogWrites, "", &error.to_string())
         }
--- a/crates/router/src/process/control_thread.rs
+++ b/crates/router/src/process/control_thread.rs
@@ -8,6 +8,7 @@
 use anyhow::Context;
 use anyhow::Result;
 use membership::Agent;
+use records::Log;
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -35,6 +36,7 @@
     pub(crate) cursor: Arc<AtomicU64>,
     pub(crate) datagrams: std::net::UdpSocket,
     pub(crate) home: Arc<Home>,
+    pub(crate) log: Arc<dyn Log>,
     pub(crate) trace_writer: Option<TraceWriter>,
     pub(crate) rx: UnboundedReceiver<ControlMessage>,
     pub(crate) secret: Secret,
@@ -70,6 +72,7 @@
             cursor: self.cursor,
             datagrams: DatagramSocket::new(self.secret, Arc::clone(&self.shared), socket),
             home: self.home,
+            log: self.log,
             trace_writer: self.trace_writer,
             shared: self.shared,
             stopped: self.stopped,
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -155,7 +155,11 @@
             settings.log.read_pacing(),
             settings.log.read_wait(),
         )?;
-        let writer = LogWriter::start(log, Arc::clone(&self.shared))?;
+        let writer = LogWriter::start(
+            Arc::clone(&log),
+            Arc::clone(&self.shared),
+            self.control.clone(),
+        )?;
         if let Some(listener) = listeners.metrics {
             spawn_local_server(listener, self.metrics_service(), stop);
         }
@@ -188,6 +192,7 @@
             cursor,
             datagrams: listeners.datagrams,
             home: self.home,
+            log,
             trace_writer,
             rx: self.rx,
             secret: self.secret,
