Send no hedge after a retry has used the last attempt of a route

Cause: the entry checked the attempts of the route when it scheduled the hedge, not when the hedge was due. In between, it sent the request to another home after 0.4 s of silence, which was the last attempt. The hedge was the third.

Ruled out by reading: a home that counts as not having run a request and starts it later. Calls count as not sent only if they never left the queue of the link, and a queried home bars the request before it says that it has not run. Attempts were counted by sends, so never too few.

Change: the stage of a dispatched request counts the homes that may run it, and adds none beyond the maximum of the route, whichever of hedge, silence or lost answer asks for one. A home counts from before the first byte until it states that it has not run the request and will not. A home that states this no longer uses an attempt, as it did before. A hedge that is due without attempts left spends no budget.

The new test in life_cycle (policy) covers the count; it needs the new field.

--- a/crates/policy/src/dispatched_request.rs
+++ b/crates/policy/src/dispatched_request.rs
@@ -18,7 +18,8 @@
 #[derive(Debug)]
 pub struct DispatchedRequest {
     head: RequestHead,
-    may_have_run: bool,
+    /// Homes that may have run the request and whose answer can no longer arrive.
+    lost: BTreeSet<VmId>,
     open: BTreeSet<VmId>,
     workspace: Option<WorkspaceId>,
 }
@@ -27,7 +28,7 @@
     pub(crate) fn new(head: RequestHead, workspace: Option<WorkspaceId>, home: VmId) -> Self {
         Self {
             head,
-            may_have_run: false,
+            lost: BTreeSet::new(),
             open: BTreeSet::from([home]),
             workspace,
         }
@@ -51,12 +52,23 @@
     /// Adds a home, and returns whether it may be dispatched to.
     ///
     /// Must be called before the first byte of a hedge or retry is sent to `home`. Returns `false`, and
-    /// adds nothing, unless the request is idempotent.
+    /// adds nothing, unless the request is idempotent and has attempts left.
     pub fn add_home(&mut self, home: VmId) -> bool {
-        if self.head.idempotent {
+        let may_add = self.head.idempotent && self.has_attempts_left();
+        if may_add {
             self.open.insert(home);
         }
-        self.head.idempotent
+        may_add
+    }
+
+    /// Reports whether one more home may run the request.
+    ///
+    /// Every home that the request was sent to counts, until it has stated that it did not run the
+    /// request and will not: a silent home may still start it.
+    pub fn has_attempts_left(&self) -> bool {
+        let attempts = self.open.union(&self.lost).count();
+        let max_attempts = self.head.max_attempts;
+        max_attempts.is_none_or(|max| u32::try_from(attempts).is_ok_and(|attempts| attempts < max))
     }
 
     /// Records the statement of `home` about the request.
@@ -69,9 +81,9 @@
             return Resolution::Open(self);
         }
         if statement.outcome() == Outcome::Unknown {
-            self.may_have_run = true;
+            self.lost.insert(home.clone());
         }
-        if self.open.is_empty() && !self.may_have_run {
+        if self.open.is_empty() && self.lost.is_empty() {
             return Resolution::NotRun(AdmittedRequest::new(self.head, self.workspace));
         }
         Resolution::Open(self)
@@ -80,7 +92,7 @@
     /// Records that the outcome at `home` can no longer be learned.
     pub fn mark_lost(&mut self, home: &VmId) {
         if self.open.remove(home) {
-            self.may_have_run = true;
+            self.lost.insert(home.clone());
         }
     }
 
--- a/crates/policy/src/request_head.rs
+++ b/crates/policy/src/request_head.rs
@@ -19,6 +19,8 @@
     pub idempotent: bool,
     /// Routing key of the request, absent for services without keys.
     pub key: Option<String>,
+    /// Maximum number of upstreams that may run the request, or `None` if only the retry policy limits them.
+    pub max_attempts: Option<u32>,
     /// HTTP method.
     pub method: String,
     /// Path without the name of the service.
--- a/crates/policy/tests/chooser.rs
+++ b/crates/policy/tests/chooser.rs
@@ -207,6 +207,7 @@
         idempotency_key: None,
         idempotent,
         key: None,
+        max_attempts: None,
         method: "GET".to_owned(),
         path: "/".to_owned(),
         service: "workshop".to_owned(),
--- a/crates/policy/tests/life_cycle.rs
+++ b/crates/policy/tests/life_cycle.rs
@@ -13,17 +13,22 @@
 use policy::Resolution;
 use policy::Statement;
 
-fn received(idempotent: bool) -> ReceivedRequest {
-    ReceivedRequest::new(RequestHead {
+fn head(idempotent: bool) -> RequestHead {
+    RequestHead {
         deadline: Duration::from_secs(5),
         id: "r1".to_owned(),
         idempotency_key: None,
         idempotent,
         key: Some("shop-1".to_owned()),
+        max_attempts: None,
         method: "POST".to_owned(),
         path: "/orders".to_owned(),
         service: "ordering".to_owned(),
-    })
+    }
+}
+
+fn received(idempotent: bool) -> ReceivedRequest {
+    ReceivedRequest::new(head(idempotent))
 }
 
 fn admitted(idempotent: bool) -> AdmittedRequest {
@@ -126,6 +131,34 @@
     );
 }
 
+#[test]
+fn home_uses_an_attempt_until_it_states_that_the_request_did_not_run() {
+    let hedged = || {
+        let limited = RequestHead {
+            max_attempts: Some(2),
+            ..head(true)
+        };
+        let admitted = ReceivedRequest::new(limited).authenticate(None).admit();
+        let mut request = admitted.dispatch(vm(1));
+        assert!(request.add_home(vm(2)));
+        assert!(!request.add_home(vm(3)));
+        assert_eq!(request.open_homes(), &BTreeSet::from([vm(1), vm(2)]));
+        request
+    };
+    let mut request = expect_open(hedged().record_statement(&vm(1), &unknown("r1")));
+    assert!(!request.add_home(vm(3)));
+    let mut request = expect_open(request.record_statement(&vm(2), &not_run("r1")));
+    assert!(request.add_home(vm(3)));
+    assert!(!request.has_attempts_left());
+    let mut request = hedged();
+    request.mark_lost(&vm(1));
+    assert!(!request.add_home(vm(3)));
+    let mut request = expect_open(hedged().record_statement(&vm(2), &not_run("r1")));
+    assert!(request.has_attempts_left());
+    assert!(request.add_home(vm(3)));
+    assert!(!request.add_home(vm(4)));
+}
+
 #[test]
 fn started_request_is_not_run_only_if_the_upstream_states_so() {
     let started = || ArrivedRequest::new("r1".to_owned()).start();
--- a/crates/router/src/entry/caller_request.rs
+++ b/crates/router/src/entry/caller_request.rs
@@ -158,6 +158,7 @@
             idempotency_key: self.idempotency_key.clone(),
             idempotent: self.is_idempotent,
             key: self.key.clone(),
+            max_attempts: self.max_attempts,
             method: self.method.clone(),
             path: self.path_and_query.clone(),
             service: self.service.clone(),
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -135,7 +135,6 @@
         let fingerprint = request.fingerprint(authenticated.workspace().map(String::as_str));
         let first_arrived = self.record_arrival(now, &request, &fingerprint, tracker);
         let admitted = self.admit(authenticated, credentials.as_ref()).await?;
-        let max_attempts = request.max_attempts;
         let returned_after = now.saturating_sub(first_arrived);
         let dispatch = Dispatch {
             fingerprint,
@@ -145,9 +144,7 @@
         if dispatch.key.is_some() {
             self.keyed_router.run(admitted, dispatch).await
         } else {
-            self.keyless_router
-                .run(admitted, dispatch, max_attempts)
-                .await
+            self.keyless_router.run(admitted, dispatch).await
         }
     }
 
--- a/crates/router/src/entry/keyless_request.rs
+++ b/crates/router/src/entry/keyless_request.rs
@@ -42,8 +42,6 @@
     excluded: BTreeSet<VmId>,
     hedge_at: Option<Instant>,
     router: &'a KeylessRouter,
-    /// Maximum number of upstreams that may run the request, or `None` for the default of the retry policy.
-    max_attempts: Option<u32>,
     replies: FuturesUnordered<BoxFuture<'a, (VmId, Reply)>>,
     /// Time of the next check whether the homes of the request are silent.
     silence_check_at: Option<Instant>,
@@ -61,17 +59,12 @@
 }
 
 impl<'a> KeylessRequest<'a> {
-    pub(crate) fn new(
-        router: &'a KeylessRouter,
-        dispatch: Dispatch,
-        max_attempts: Option<u32>,
-    ) -> Self {
+    pub(crate) fn new(router: &'a KeylessRouter, dispatch: Dispatch) -> Self {
         Self {
             dispatch,
             excluded: BTreeSet::new(),
             hedge_at: None,
             router,
-            max_attempts,
             replies: FuturesUnordered::new(),
             silence_check_at: None,
         }
@@ -107,7 +100,7 @@
 
     /// Waits for the first answer, and hedges or retries an idempotent request in the meantime.
     async fn wait_for_answer(&mut self, mut dispatched: DispatchedRequest) -> RoundResult {
-        self.schedule_hedge();
+        self.schedule_hedge(&dispatched);
         loop {
             let (vm, reply) = tokio::select! {
                 Some(reply) = self.replies.next() => reply,
@@ -140,19 +133,13 @@
         retry_after(self.router.home_client.shared.clock.now(), deadline)
     }
 
-    /// Reports whether one more upstream may run the request.
-    fn has_attempts_left(&self) -> bool {
-        self.max_attempts
-            .is_none_or(|max_attempts| self.dispatch.attempt < max_attempts)
-    }
-
     fn target_latency(&self) -> Duration {
         Duration::from_millis(self.dispatch.target_latency_ms)
     }
 
-    fn schedule_hedge(&mut self) {
+    fn schedule_hedge(&mut self, dispatched: &DispatchedRequest) {
         let may_hedge = self.dispatch.idempotent
-            && self.has_attempts_left()
+            && dispatched.has_attempts_left()
             && !self.router.is_suspect(&self.dispatch);
         self.hedge_at = may_hedge.then(|| {
             let target_latency = self.target_latency();
@@ -165,6 +152,10 @@
 
     fn hedge(&mut self, dispatched: &mut DispatchedRequest) {
         self.hedge_at = None;
+        // A retry may have used the last attempt since the hedge was scheduled.
+        if !dispatched.has_attempts_left() {
+            return;
+        }
         let is_in_budget = self.router.with_service(&self.dispatch.service, |service| {
             service.retry_budget.try_spend()
         });
@@ -182,7 +173,7 @@
         let links = &self.router.home_client.links;
         let are_silent = dispatched.open_homes().iter().all(|vm| links.is_silent(vm));
         self.silence_check_at = None;
-        if !self.has_attempts_left() {
+        if !dispatched.has_attempts_left() {
             return;
         }
         if !are_silent || !self.send_copy(dispatched, Step::Retried) {
@@ -197,7 +188,7 @@
         dispatched: &mut DispatchedRequest,
         statement: &Statement,
     ) -> bool {
-        if !self.has_attempts_left() {
+        if !dispatched.has_attempts_left() {
             return false;
         }
         match self.decide_retry(dispatched.head(), statement) {
--- a/crates/router/src/entry/keyless_router.rs
+++ b/crates/router/src/entry/keyless_router.rs
@@ -44,12 +44,9 @@
         &self,
         admitted: AdmittedRequest,
         dispatch: Dispatch,
-        max_attempts: Option<u32>,
     ) -> Result<Answer, Refusal> {
         self.with_service(&dispatch.service, |service| service.retry_budget.deposit());
-        KeylessRequest::new(self, dispatch, max_attempts)
-            .run(admitted)
-            .await
+        KeylessRequest::new(self, dispatch).run(admitted).await
     }
 
     /// Calls `use_service` with the state of a service, after updating its candidates from the fleet.
