Continue the log in a new generation after a restore of the store

Cause: offsets of the store were taken as positions in one history, by the reader of the log, by fences, incarnations and versions, by the positions of declarations and by the sequence numbers of appends. The class of fault is a cursor that outlives the history that it points into.

Ruled out as the first cause: the operators' topic, which was loaded anew at 17.4 s, and refused appends, of which there were none.

Change: offsets include the generation of the log, which is the number of its restores, and each generation has a topic of its own, so that an append by a process that does not know of a restore has no effect. Members write their state as the first records of a generation, in turns; each process adopts the first complete one. An owner keeps what it holds under the same fence. Units that the state gives back to a former owner are withheld until it has joined anew, and units that come with a join wait for one lease. Declarations that are known stay in force, and only what was written since the restore changes them. Turns to publish declarations count from when the log lacks them. A starting process begins with the latest generation.

--- /dev/null
+++ b/crates/cluster/src/continuation.rs
@@ -0,0 +1,24 @@
+//! Continuation of the log after it was restored from a backup.
+
+use ids::Generation;
+use ids::first_offset;
+
+use crate::Fleet;
+use crate::snapshot_progress::SnapshotProgress;
+
+impl Fleet {
+    /// Returns this state as the one with which `generation` of the log begins.
+    ///
+    /// Owners keep their fences, which are below those of the new generation. Records that were applied before count as
+    /// repeated if they are appended again.
+    pub fn continued_in(&self, generation: Generation) -> Self {
+        let next_offset = first_offset(generation);
+        let shift = next_offset.saturating_sub(self.next_offset);
+        Self {
+            next_offset,
+            progress: SnapshotProgress::default(),
+            recent: self.recent.shifted(shift),
+            ..self.clone()
+        }
+    }
+}
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -4,6 +4,7 @@
 mod body;
 mod change;
 mod configuration;
+mod continuation;
 mod document;
 mod end_reason;
 mod evidence;
--- a/crates/cluster/src/recent_records.rs
+++ b/crates/cluster/src/recent_records.rs
@@ -51,6 +51,17 @@
         }
     }
 
+    /// Returns the records with `shift` added to their offsets.
+    pub(crate) fn shifted(&self, shift: Offset) -> Self {
+        let order = self.order.iter();
+        Self {
+            hashes: self.hashes.clone(),
+            order: order
+                .map(|&(offset, hash)| (offset + shift, hash))
+                .collect(),
+        }
+    }
+
     pub(crate) fn to_runs(&self) -> Vec<HashRun> {
         let mut runs: Vec<HashRun> = Vec::new();
         let mut expected = 0;
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -42,14 +42,18 @@
         self.append_as(&id, body)
     }
 
-    pub(crate) fn append_as(&mut self, id: &str, body: Body) -> Outcome {
+    /// Returns a record that is not appended.
+    pub(crate) fn record(&self, id: &str, body: Body) -> Vec<u8> {
         let record = Record {
             body,
             id: id.to_owned(),
             writer: "test".to_owned(),
         };
-        self.records
-            .push(serde_json::to_vec(&record).expect("a record is JSON"));
+        serde_json::to_vec(&record).expect("a record is JSON")
+    }
+
+    pub(crate) fn append_as(&mut self, id: &str, body: Body) -> Outcome {
+        self.records.push(self.record(id, body));
         self.fleet.apply(
             self.records.len() as Offset,
             &self.records[self.records.len() - 1],
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -1,7 +1,11 @@
 //! Identifiers that every crate of the workspace shares.
 
+mod generation;
 mod unit;
 
+pub use generation::Generation;
+pub use generation::first_offset;
+pub use generation::generation_of;
 pub use unit::ParseUnitError;
 pub use unit::Unit;
 
@@ -14,7 +18,7 @@
 /// Identifies one run of a member process: the offset of its `Join` record.
 pub type Incarnation = u64;
 
-/// Position of a record in the platform's log.
+/// Position of a record in the platform's log, which includes the [`Generation`] of the log.
 pub type Offset = u64;
 
 /// Unique id of a log record, chosen by its writer.
--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -118,6 +118,7 @@
             Event::HotKeys { loads } => self.key_loads = loads,
             Event::LogFailed => self.log.read_failed(),
             Event::LogIdle => self.log.read_succeeded(now, None),
+            Event::LogRestored { generation } => self.handle_restore(now, generation, actions),
             Event::PeerLoads { loads } => self.loads.peer_loads.extend(loads),
             Event::PeerRecords { next, records, .. } => {
                 self.apply_records(now, &records, actions);
@@ -147,6 +148,7 @@
         self.appends.retry_due(now, actions);
         self.end_overdue_reads(now, actions);
         self.write_snapshot(now, actions);
+        self.continue_log(now, actions);
         self.pull_from_any(now, actions);
     }
 
--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -5,38 +5,47 @@
 
 use cluster::Body;
 use cluster::Document;
+use ids::Offset;
 use ids::ZoneId;
+use ids::generation_of;
 
 use crate::Action;
 use crate::Agent;
 use crate::OperatorDeclarations;
+use crate::times::DECLARATION_SETTLE_TIME;
 use crate::times::DECLARATION_TURN_DELAY;
 use crate::times::FIRST_MANIFEST_DELAY;
 
 impl Agent {
     /// Records the current declarations of operators.
     pub(crate) fn set_declarations(&mut self, now: Duration, declarations: OperatorDeclarations) {
+        if generation_of(declarations.position) > generation_of(self.declarations.position) {
+            self.schedule.declarations_settled_at = now + DECLARATION_SETTLE_TIME;
+        }
         if self.declarations != declarations {
             self.declarations = declarations;
-            self.schedule.last_new_declaration = now;
+            self.schedule.unpublished_since = None;
         }
     }
 
     /// Publishes the declarations of operators to the log. Processes take turns, and only the first record takes effect.
     pub(crate) fn publish_declarations(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let is_pending = |body: &Body| matches!(body, Body::Publish { .. } | Body::Zone { .. });
-        if !self.log.is_healthy(now)
-            || self.appends.any(is_pending)
-            || now < self.publication_time()
-        {
+        if !self.log.is_healthy(now) || self.appends.any(is_pending) {
             return;
         }
-        if let Some(body) = self.next_publication().or_else(|| self.next_zone()) {
+        let Some(body) = self.next_publication().or_else(|| self.next_zone(now)) else {
+            self.schedule.unpublished_since = None;
+            return;
+        };
+        let since = *self.schedule.unpublished_since.get_or_insert(now);
+        if now >= self.publication_time(since) {
             self.appends.append(now, body, actions);
         }
     }
 
-    fn publication_time(&self) -> Duration {
+    /// Returns the time of this process's turn to publish declarations that the log has lacked since `since`.
+    fn publication_time(&self, since: Duration) -> Duration {
         let fleet = self.log.fleet();
         let members = fleet.members();
         let position = members.keys().position(|vm| *vm == self.cfg.vm);
@@ -49,8 +58,8 @@
         let position = position.unwrap_or(members.len());
         let turn = (position + first_turn) % members.len().max(1);
         let first_at = match fleet.revision() {
-            0 => self.schedule.last_new_declaration.max(FIRST_MANIFEST_DELAY),
-            _ => self.schedule.last_new_declaration,
+            0 => since.max(FIRST_MANIFEST_DELAY),
+            _ => since,
         };
         first_at + DECLARATION_TURN_DELAY * u32::try_from(turn).unwrap_or(u32::MAX)
     }
@@ -64,14 +73,17 @@
         })
     }
 
-    fn next_zone(&self) -> Option<Body> {
+    fn next_zone(&self, now: Duration) -> Option<Body> {
         self.declarations.manifest.as_ref()?;
         let fleet = self.log.fleet();
         let out: BTreeSet<&ZoneId> = fleet.zones_out().collect();
         let declared: BTreeSet<&ZoneId> = self.declarations.zones_out.iter().collect();
         let mut differing = declared.symmetric_difference(&out);
-        let zone =
-            differing.find(|zone| fleet.zone_position(zone) <= self.declarations.position)?;
+        let zone = differing.find(|zone| {
+            let position = fleet.zone_position(zone);
+            position <= self.declarations.position
+                && (declared.contains(*zone) || self.is_withdrawn_after(position, now))
+        })?;
         Some(Body::Zone {
             base: fleet.zone_version(zone),
             out: declared.contains(*zone),
@@ -79,4 +91,12 @@
             zone: (*zone).clone(),
         })
     }
+
+    /// Reports whether operators have withdrawn what they declared at `position`, if the current declarations lack it. After
+    /// a restore they may lack it because it was lost.
+    fn is_withdrawn_after(&self, position: Offset, now: Duration) -> bool {
+        let current = self.declarations.position;
+        generation_of(position) == generation_of(current)
+            || now >= self.schedule.declarations_settled_at
+    }
 }
--- a/crates/membership/src/agent_lifecycle.rs
+++ b/crates/membership/src/agent_lifecycle.rs
@@ -30,7 +30,9 @@
                 }
             }
             MemberState::Active(_)
-                if !self.is_joined_for_upstream() || self.has_too_many_ranges(now) =>
+                if !self.is_joined_for_upstream()
+                    || self.has_too_many_ranges(now)
+                    || self.owned_units.has_reverted() =>
             {
                 self.rejoin(now, actions);
             }
@@ -74,8 +76,8 @@
         self.state = MemberState::Joining(joining);
     }
 
-    /// Joins under a new incarnation, because the upstream has restarted or the member's ranges do not
-    /// fit into one answer.
+    /// Joins under a new incarnation, because the upstream has restarted, the member's ranges do not fit
+    /// into one answer, or units need new fences.
     fn rejoin(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let is_pending = |body: &Body| matches!(body, Body::Join(_));
         let Some(accepted) = self.upstream.accepted() else {
--- a/crates/membership/src/agent_log.rs
+++ b/crates/membership/src/agent_log.rs
@@ -6,6 +6,8 @@
 use cluster::Record;
 use ids::Offset;
 use ids::Unit;
+use ids::first_offset;
+use ids::generation_of;
 
 use crate::Absent;
 use crate::Action;
@@ -34,7 +36,11 @@
         actions: &mut Vec<Action>,
     ) {
         let mut any_applied = false;
+        let known_until = self.log.fleet().next_offset();
         for (offset, text) in records {
+            if *offset == first_offset(generation_of(*offset)) {
+                self.handle_restore(now, generation_of(*offset), actions);
+            }
             let Some(applied) = self.log.apply(*offset, text, actions) else {
                 continue;
             };
@@ -43,6 +49,10 @@
                 self.handle_own_record(now, *offset, applied, &record, actions);
             }
         }
+        let applied_until = self.log.fleet().next_offset();
+        if generation_of(applied_until) > generation_of(known_until) {
+            self.adopt_generation(now, known_until);
+        }
         if any_applied {
             self.update_from_log(now, actions);
         }
--- a/crates/membership/src/agent_witness.rs
+++ b/crates/membership/src/agent_witness.rs
@@ -12,6 +12,7 @@
 use crate::Heartbeat;
 use crate::HeartbeatAnswer;
 use crate::schedule::is_due;
+use crate::times::FIRST_STATE_PULL_DELAY;
 use crate::times::PULL_AFTER_LAG;
 use crate::times::PULL_INTERVAL;
 use crate::times::REWITNESS_INTERVAL;
@@ -66,7 +67,11 @@
             return;
         }
         let since = *self.schedule.behind_since.get_or_insert(now);
-        let is_behind = !self.log.is_healthy(now) || now >= since + PULL_AFTER_LAG;
+        let is_behind = if self.log.is_reading_first_state() {
+            now >= since + FIRST_STATE_PULL_DELAY
+        } else {
+            !self.log.is_healthy(now) || now >= since + PULL_AFTER_LAG
+        };
         if is_behind && is_due(&mut self.schedule.next_pull, now, PULL_INTERVAL) {
             self.pull(&answer.witness, actions);
         }
--- a/crates/membership/src/decision.rs
+++ b/crates/membership/src/decision.rs
@@ -1,6 +1,7 @@
 //! Decisions of an agent, for the log output of the process.
 
 use ids::Fence;
+use ids::Generation;
 use ids::Incarnation;
 use ids::Offset;
 use ids::Unit;
@@ -48,6 +49,11 @@
         /// Incarnation of the member.
         incarnation: Incarnation,
     },
+    /// The log was restored from a backup, and the process follows its new generation.
+    LogRestored {
+        /// The generation.
+        generation: Generation,
+    },
     /// A unit moves to another member.
     Moved {
         /// Fence under which this process owned the unit.
@@ -105,6 +111,7 @@
             Self::Suspected { .. } => "suspected",
             Self::Acquired { .. } => "took",
             Self::Uninformed => "uninformed",
+            Self::LogRestored { .. } => "log_restored",
             Self::UpstreamAccepted { .. } => "upstream_accepted",
         }
     }
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use ids::Generation;
 use ids::Offset;
 use ids::Unit;
 use ids::VmId;
@@ -66,6 +67,11 @@
     LogFailed,
     /// The log was read, and held no new record.
     LogIdle,
+    /// The log was restored from a backup, and continues in a new generation.
+    LogRestored {
+        /// The generation.
+        generation: Generation,
+    },
     /// Total loads of some other members, in the unit of `UnitLoads`. Earlier loads of members that
     /// are not named remain valid.
     PeerLoads {
--- a/crates/membership/src/log_state.rs
+++ b/crates/membership/src/log_state.rs
@@ -5,7 +5,10 @@
 use cluster::Fleet;
 use cluster::Outcome;
 use cluster::SnapshotReader;
+use ids::Generation;
 use ids::Offset;
+use ids::first_offset;
+use ids::generation_of;
 
 use crate::Action;
 use crate::Decision;
@@ -25,6 +28,8 @@
     fleet: Fleet,
     informed_at: Option<Duration>,
     read_at: Option<Duration>,
+    /// Time at which the current generation of the log was entered, while the state with which it begins is not known.
+    restored_at: Option<Duration>,
     snapshot_search: Option<SnapshotSearch>,
 }
 
@@ -90,6 +95,7 @@
             return None;
         }
         let search = self.snapshot_search.take()?;
+        self.restored_at = None;
         self.fleet = fleet;
         for (offset, text) in search.records {
             if offset >= self.fleet.next_offset() {
@@ -101,6 +107,33 @@
 
     /// Records that the log keeps only records from `first` on, and starts the search for a snapshot.
     pub(crate) fn records_expired(&mut self, first: Offset) {
+        self.restored_at = None;
+        self.search_snapshot_from(first);
+    }
+
+    /// Starts to follow a later generation of the log, which begins with a snapshot. Returns whether it is later.
+    pub(crate) fn enter_generation(&mut self, now: Duration, generation: Generation) -> bool {
+        if generation <= generation_of(self.next_offset()) {
+            return false;
+        }
+        self.is_failing = false;
+        self.restored_at = Some(now);
+        self.search_snapshot_from(first_offset(generation));
+        true
+    }
+
+    /// Reports whether this process has ever read the log, or a peer's copy of it, to its end.
+    pub(crate) fn was_ever_caught_up(&self) -> bool {
+        self.informed_at.is_some()
+    }
+
+    /// Returns the generation whose first state is not known yet, and the time since which it has been awaited.
+    pub(crate) fn awaited_generation(&self) -> Option<(Generation, Duration)> {
+        let generation = generation_of(self.next_offset());
+        self.restored_at.map(|since| (generation, since))
+    }
+
+    fn search_snapshot_from(&mut self, first: Offset) {
         self.is_caught_up = false;
         self.snapshot_search = Some(SnapshotSearch {
             first,
@@ -155,6 +188,11 @@
         self.is_caught_up && !self.is_failing && self.read_at.is_some_and(is_recent)
     }
 
+    /// Reports whether the log can be read and the first state of its generation is not known yet.
+    pub(crate) fn is_reading_first_state(&self) -> bool {
+        self.restored_at.is_some() && !self.is_failing
+    }
+
     /// Reports whether all of the log, or a peer's copy of it, was read recently.
     pub(crate) fn is_informed(&self, now: Duration) -> bool {
         let is_recent = |informed| now <= informed + UNINFORMED_AFTER;
--- a/crates/membership/src/owned_units.rs
+++ b/crates/membership/src/owned_units.rs
@@ -8,6 +8,7 @@
 use cluster::UnitFence;
 use ids::Fence;
 use ids::Incarnation;
+use ids::Offset;
 use ids::Unit;
 use ids::VmId;
 
@@ -25,6 +26,12 @@
     applied_revision: Option<u64>,
     desired_grants: DesiredGrants,
     handing_over: bool,
+    /// Time before which units that come with a join are not served. A member may still serve them that had received them by
+    /// records that a restore of the log has lost.
+    joined_units_wait_until: Duration,
+    /// Units, with their fences, that were lost and returned when the log was restored. Another member may have had them
+    /// under later fences.
+    reverted: BTreeMap<Unit, Fence>,
     serving: BTreeMap<Unit, Fence>,
     units: BTreeMap<Unit, UnitState>,
     waiting: bool,
@@ -46,6 +53,9 @@
             if ownership.incarnation != incarnation {
                 continue;
             }
+            if self.reverted.get(unit) == Some(&ownership.fence) {
+                continue;
+            }
             let known = self.units.remove(unit);
             let known = known.filter(|known| known.fence() == ownership.fence);
             let state = known.unwrap_or_else(|| {
@@ -55,15 +65,51 @@
                     unit: unit.clone(),
                     wait_ms: ownership.wait_ms,
                 });
-                UnitState::Waiting(OwnedUnit::new(ownership.fence, now + wait))
+                let mut until = now + wait;
+                if ownership.fence == incarnation {
+                    until = until.max(self.joined_units_wait_until);
+                }
+                UnitState::Waiting(OwnedUnit::new(ownership.fence, until))
             });
             kept.insert(unit.clone(), state);
         }
         self.units = kept;
+        self.reverted.retain(|unit, fence| {
+            let owner = fleet.owner(unit);
+            owner.is_some_and(|owner| owner.vm == *own_vm && owner.fence == *fence)
+        });
         self.refresh();
         acquired
     }
 
+    /// Withholds the units that the log assigns to this incarnation under fences below `known_until`, if this process knows
+    /// that it has lost them since.
+    pub(crate) fn withhold_reverted(
+        &mut self,
+        fleet: &Fleet,
+        own_vm: &VmId,
+        incarnation: Incarnation,
+        known_until: Offset,
+    ) {
+        for (unit, ownership) in fleet.units_of(own_vm) {
+            let fence = ownership.fence;
+            let is_held = self.units.get(unit).map(UnitState::fence) == Some(fence);
+            if ownership.incarnation == incarnation && fence < known_until && !is_held {
+                self.reverted.insert(unit.clone(), fence);
+            }
+        }
+    }
+
+    /// Sets the time before which units that come with a join are not served.
+    pub(crate) fn delay_joined_units(&mut self, until: Duration) {
+        self.joined_units_wait_until = until;
+    }
+
+    /// Reports whether units are withheld until they have new fences.
+    pub(crate) fn has_reverted(&self) -> bool {
+        !self.reverted.is_empty()
+    }
+
     /// Advances the units whose wait has ended, or whose grant was confirmed or lost.
     pub(crate) fn advance(&mut self, now: Duration, upstream: &Upstream) {
         if !self.waiting && self.applied_revision == Some(upstream.revision()) {
@@ -233,6 +279,7 @@
 
     /// Drops all units.
     pub(crate) fn clear(&mut self) {
+        self.reverted.clear();
         self.units.clear();
         self.refresh();
     }
--- a/crates/membership/src/pending_appends.rs
+++ b/crates/membership/src/pending_appends.rs
@@ -97,6 +97,13 @@
         pending.any(|pending| predicate(&pending.record.body))
     }
 
+    /// Drops pending parts of snapshots.
+    pub(crate) fn drop_snapshots(&mut self) {
+        let is_part = |body: &Body| matches!(body, Body::SnapshotChunk { .. });
+        self.pending
+            .retain(|_, pending| !is_part(&pending.record.body));
+    }
+
     /// Returns the number of pending records.
     pub(crate) fn len(&self) -> usize {
         self.pending.len()
--- a/crates/membership/src/schedule.rs
+++ b/crates/membership/src/schedule.rs
@@ -11,10 +11,10 @@
 pub(crate) struct Schedule {
     /// Time since which a witness has been known to have read further in the log than this member.
     pub(crate) behind_since: Option<Duration>,
+    /// Time by which operators have repeated the declarations that were lost with a restore of the log.
+    pub(crate) declarations_settled_at: Duration,
     /// Whether the last plan contained no moves.
     pub(crate) has_nothing_to_move: bool,
-    /// Time at which a new declaration by operators was last seen.
-    pub(crate) last_new_declaration: Duration,
     last_tick: Option<Duration>,
     /// Offset that the newest snapshot covers, and the time at which that was read.
     pub(crate) newest_snapshot: (Offset, Duration),
@@ -26,6 +26,8 @@
     pub(crate) next_pull: Duration,
     /// Time of the next replacement of witnesses.
     pub(crate) next_rewitness: Duration,
+    /// Time since which the log has lacked the current declarations of operators.
+    pub(crate) unpublished_since: Option<Duration>,
     /// Time since which a new snapshot has been due.
     pub(crate) snapshot_missing_since: Option<Duration>,
 }
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -50,6 +50,20 @@
 /// that start together share the units.
 pub(crate) const FIRST_MANIFEST_DELAY: Duration = Duration::from_millis(2_500);
 
+/// Time after which the next process in turn writes its state to a log that was restored from a backup.
+pub(crate) const CONTINUATION_TURN_DELAY: Duration = Duration::from_millis(300);
+
+/// Time that members have to write their state to a restored log before other processes write theirs.
+pub(crate) const NON_MEMBER_CONTINUATION_DELAY: Duration = Duration::from_secs(1);
+
+/// Time that processes that had read all of the log before its restore have to write their state before others, which know
+/// only of the backup, write theirs.
+pub(crate) const BACKUP_CONTINUATION_DELAY: Duration = Duration::from_secs(2);
+
+/// Time after the first declaration of a generation for which a zone stays out of service although it is not declared out
+/// any more, since operators may not have repeated a declaration that was lost with a restore.
+pub(crate) const DECLARATION_SETTLE_TIME: Duration = Duration::from_secs(10);
+
 /// Time after which the next member in turn publishes the declarations of operators in the log.
 pub(crate) const DECLARATION_TURN_DELAY: Duration = Duration::from_millis(150);
 
@@ -126,6 +140,10 @@
 /// Time after which a member that has read less of the log than its witnesses pulls records from them.
 pub(crate) const PULL_AFTER_LAG: Duration = Duration::from_millis(700);
 
+/// Time after which a member that reads the first state of a generation from the log pulls it from its witnesses instead. The
+/// state is large, and all members read it at once.
+pub(crate) const FIRST_STATE_PULL_DELAY: Duration = Duration::from_secs(3);
+
 /// Time between two pulls from peers.
 pub(crate) const PULL_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/crates/membership/tests/model/faults.rs
+++ b/crates/membership/tests/model/faults.rs
@@ -9,17 +9,38 @@
 use crate::simulation::MS;
 use crate::simulation::SECOND;
 use crate::simulation::Simulation;
+use crate::simulation::plans;
 
+/// Share of faults that are restores of the log, where these are included.
+const RESTORE_PROBABILITY: f64 = 0.15;
+
+/// Maximum number of records that one restore loses.
+const MAX_LOST_RECORDS: usize = 12;
+
+#[derive(Clone, Copy)]
 pub(crate) struct Faults {
     /// Time of the next fault.
     due: u64,
+    has_restores: bool,
     /// Time at which all faults are healed.
     until: u64,
 }
 
 impl Faults {
     pub(crate) fn new(due: u64, until: u64) -> Self {
-        Self { due, until }
+        Self {
+            due,
+            has_restores: false,
+            until,
+        }
+    }
+
+    /// Includes restores of the log from a backup.
+    pub(crate) fn with_restores(self) -> Self {
+        Self {
+            has_restores: true,
+            ..self
+        }
     }
 
     pub(crate) fn inject(&mut self, sim: &mut Simulation) {
@@ -29,10 +50,18 @@
         if sim.at >= self.until {
             self.due = u64::MAX;
             heal(sim);
+            if self.has_restores {
+                sim.append_as_operator(plans());
+            }
             return;
         }
         self.due = sim.at + sim.rng.random_range(100 * MS..2 * SECOND);
-        inject(sim);
+        if self.has_restores && sim.rng.random_bool(RESTORE_PROBABILITY) {
+            let lost = sim.rng.random_range(0..=MAX_LOST_RECORDS);
+            sim.log.restore(lost);
+        } else {
+            inject(sim);
+        }
     }
 }
 
--- a/crates/membership/tests/model/main.rs
+++ b/crates/membership/tests/model/main.rs
@@ -7,7 +7,9 @@
 mod faults;
 mod node;
 mod replacement;
+mod restores;
 mod scenarios;
+mod simulated_log;
 mod simulation;
 
 use ids::Unit;
@@ -45,9 +47,12 @@
 }
 
 fn run_with_faults_from(faults_from: u64, seed: u64, broken_rule: BrokenRule) -> Outcome {
+    run_with_faults(Faults::new(faults_from, FAULTS_UNTIL), seed, broken_rule)
+}
+
+fn run_with_faults(mut faults: Faults, seed: u64, broken_rule: BrokenRule) -> Outcome {
     let size = 2 + (seed % 6) as usize;
     let mut sim = Simulation::new(seed, size, broken_rule);
-    let mut faults = Faults::new(faults_from, FAULTS_UNTIL);
     while sim.at < END {
         let changed_node = sim.step();
         faults.inject(&mut sim);
@@ -90,10 +95,10 @@
 }
 
 /// Runs all seeds with the correct rules on four threads, and asserts that each run passes.
-fn assert_all_pass(faults_from: u64) {
+fn assert_all_pass(faults: Faults) {
     let run_seeds_from = |first: u64| {
         for seed in (first..RUNS).step_by(4) {
-            let outcome = run_with_faults_from(faults_from, seed, BrokenRule::None);
+            let outcome = run_with_faults(faults, seed, BrokenRule::None);
             assert_eq!(outcome, Outcome::Passed, "seed {seed}");
         }
     };
@@ -106,12 +111,12 @@
 
 #[test]
 fn no_unit_has_two_owners_and_all_are_served_again() {
-    assert_all_pass(FAULTS_FROM);
+    assert_all_pass(Faults::new(FAULTS_FROM, FAULTS_UNTIL));
 }
 
 #[test]
 fn no_unit_has_two_owners_when_faults_begin_before_the_first_join() {
-    assert_all_pass(0);
+    assert_all_pass(Faults::new(0, FAULTS_UNTIL));
 }
 
 #[test]
--- a/crates/membership/tests/model/node.rs
+++ b/crates/membership/tests/model/node.rs
@@ -1,14 +1,19 @@
 //! One simulated VM: a home, driven through its agent, and its upstream.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use ids::Offset;
 use ids::Unit;
 use ids::VmId;
+use ids::first_offset;
+use ids::generation_of;
 use membership::Agent;
 use membership::AgentSettings;
 use membership::Announcement;
+use membership::Event;
 use membership::Trace;
 
 use crate::fake_upstream::FakeUpstream;
@@ -25,6 +30,8 @@
     pub(crate) process: u64,
     pub(crate) paused_until: u64,
     pub(crate) rate: f64,
+    /// Records that this process has read or pulled.
+    pub(crate) records: BTreeMap<Offset, String>,
     /// Time by which the clock is ahead, if a broken rule skips waits.
     pub(crate) skipped: Duration,
     pub(crate) started: u64,
@@ -48,6 +55,7 @@
             process: 0,
             paused_until: 0,
             rate,
+            records: BTreeMap::new(),
             skipped: Duration::ZERO,
             started: 0,
             trace: None,
@@ -66,6 +74,7 @@
         self.agent = agent(index, self.address, self.process);
         self.is_up = true;
         self.paused_until = 0;
+        self.records.clear();
         self.skipped = Duration::ZERO;
         self.started = at;
     }
@@ -87,6 +96,27 @@
         }
     }
 
+    /// Stores the records of an event for peers.
+    pub(crate) fn store_records(&mut self, event: &Event) {
+        if let Event::Records { records, .. } | Event::PeerRecords { records, .. } = event {
+            for (offset, text) in records {
+                let known = self.records.entry(*offset);
+                known.or_insert_with(|| text.clone());
+            }
+        }
+    }
+
+    /// Returns the records for a peer that reads from an offset, from the start of the generation if that of the offset has
+    /// ended.
+    pub(crate) fn records_for_peer(&self, from: Offset) -> Vec<(Offset, String)> {
+        let next = self.agent.fleet().next_offset();
+        let start = first_offset(generation_of(next));
+        let records = self.records.range(from.max(start).min(next)..next);
+        records
+            .map(|(offset, text)| (*offset, text.clone()))
+            .collect()
+    }
+
     /// Reports whether the home would dispatch a request to the unit, or a request still runs on it.
     pub(crate) fn serves(&self, at: u64, unit: &Unit) -> bool {
         let lease_end = self.agent.lease_until();
--- a/crates/membership/tests/model/replacement.rs
+++ b/crates/membership/tests/model/replacement.rs
@@ -21,9 +21,9 @@
 fn run_until_appended(sim: &mut Simulation, kind: &str, writer: &str) {
     let kind = format!(r#""type":"{kind}""#);
     let writer = format!(r#""writer":"{writer}"#);
-    let known = sim.log.len();
+    let known = sim.log.records(0).len();
     let is_match = |record: &String| record.contains(&kind) && record.contains(&writer);
-    while !sim.log[known..].iter().any(is_match) {
+    while !sim.log.records(0)[known..].iter().any(is_match) {
         sim.step();
     }
 }
@@ -46,7 +46,7 @@
 
 fn fold(sim: &Simulation) -> Fleet {
     let mut fleet = Fleet::default();
-    for (offset, record) in (1..).zip(&sim.log) {
+    for (offset, record) in (1..).zip(sim.log.records(0)) {
         fleet.apply(offset, record.as_bytes());
     }
     fleet
--- a/crates/membership/tests/model/simulation.rs
+++ b/crates/membership/tests/model/simulation.rs
@@ -12,6 +12,8 @@
 use config::Plans;
 use ids::Offset;
 use ids::Unit;
+use ids::first_offset;
+use ids::generation_of;
 use membership::Action;
 use membership::Decision;
 use membership::Event;
@@ -25,6 +27,7 @@
 use crate::broken_rule::BrokenRule;
 use crate::fake_upstream::FakeUpstream;
 use crate::node::Node;
+use crate::simulated_log::SimulatedLog;
 
 pub(crate) const MS: u64 = 1_000;
 pub(crate) const SECOND: u64 = 1_000 * MS;
@@ -34,6 +37,9 @@
 const PAUSE_PROBABILITY: f64 = 0.003;
 pub(crate) const SHARDS: u32 = 8;
 
+/// Writer of the records that operators append.
+const OPERATOR: &str = "operator";
+
 pub(crate) enum Input {
     Announce,
     Append(Record),
@@ -60,7 +66,7 @@
     pub(crate) loss_probability: f64,
     pub(crate) nodes: Vec<Node>,
     pub(crate) rng: StdRng,
-    pub(crate) log: Vec<String>,
+    pub(crate) log: SimulatedLog,
     /// Scheduled inputs by due time and sequence number, with the index and process of their node.
     queue: BTreeMap<(u64, u64), (usize, u64, Input)>,
     sequence: u64,
@@ -80,7 +86,7 @@
             loss_probability: 0.0,
             nodes: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
-            log: vec![plans()],
+            log: SimulatedLog::new(first_record()),
             queue: BTreeMap::new(),
             sequence: 0,
             broken_rule,
@@ -135,7 +141,7 @@
                 self.schedule(MS, index, Input::Home(event));
                 self.schedule(SECOND, index, Input::Announce);
             }
-            Input::Append(record) => self.append(&record),
+            Input::Append(record) => self.append(index, &record),
             Input::Home(Event::HeartbeatAnswered(answer))
                 if self.broken_rule == BrokenRule::LeaseCountsFromAnswer =>
             {
@@ -178,18 +184,22 @@
         }
     }
 
-    fn append(&mut self, record: &Record) {
+    fn append(&mut self, index: usize, record: &Record) {
         if self.is_log_down {
             return;
         }
+        let generation = match record.writer == OPERATOR {
+            true => self.log.current(),
+            false => generation_of(self.nodes[index].agent.next_log_offset()),
+        };
         let mut record = record.clone();
-        self.log.push(text(&record));
+        self.log.append(generation, text(&record));
         if let Body::Rewitness { base, .. } = &mut record.body
             && self.broken_rule == BrokenRule::NoJointMajority
         {
-            *base = self.log.len() as Offset;
+            *base = self.log.next_offset(generation) - 1;
             record.id.push_str("-release");
-            self.log.push(text(&record));
+            self.log.append(generation, text(&record));
         }
     }
 
@@ -201,12 +211,10 @@
         if !can_answer || is_cut || node.paused_until > self.at {
             return;
         }
-        let known = from..node.agent.fleet().next_offset();
-        let records = known.map(|offset| (offset, self.log[offset as usize - 1].clone()));
         let event = Event::PeerRecords {
             next: node.agent.fleet().next_offset(),
             peer: node.vm.clone(),
-            records: records.collect(),
+            records: node.records_for_peer(from),
         };
         self.schedule(3 * MS, index, Input::Home(event));
     }
@@ -222,7 +230,7 @@
         let record = Record {
             id: format!("operator-{}", self.sequence),
             body,
-            writer: "operator".to_owned(),
+            writer: OPERATOR.to_owned(),
         };
         self.schedule(50 * MS, 0, Input::Append(record));
     }
@@ -231,7 +239,6 @@
         let delay = self.rng.random_range(MS..30 * MS);
         let node = &self.nodes[index];
         let from = node.agent.next_log_offset();
-        let next = self.log.len() as Offset + 1;
         let event = if self.is_log_down || node.is_cut_from_log {
             Event::LogFailed
         } else if self.nodes[index].agent.next_log_offset() < self.first_offset {
@@ -239,16 +246,31 @@
                 first: self.first_offset,
             }
         } else {
-            let records =
-                (from..next).map(|offset| (offset, self.log[offset as usize - 1].clone()));
-            let records = records.collect();
-            Event::Records { next, records }
+            self.read_records(from)
         };
         self.schedule(delay, index, Input::Home(event));
         self.schedule(delay + 40 * MS, index, Input::Read);
     }
 
+    /// Returns the records from an offset on, or the restore of the log at the end of a generation that was followed by
+    /// another.
+    fn read_records(&self, from: Offset) -> Event {
+        let records = self.log.read(from);
+        let (read, current) = (generation_of(from), self.log.current());
+        if read == current {
+            let next = self.log.next_offset(read);
+            Event::Records { next, records }
+        } else if records.is_empty() {
+            let generation = self.log.generation_after(from);
+            Event::LogRestored { generation }
+        } else {
+            let next = first_offset(current);
+            Event::Records { next, records }
+        }
+    }
+
     fn handle(&mut self, index: usize, event: Event) {
+        self.nodes[index].store_records(&event);
         let now = self.nodes[index].now(self.at);
         if let Some(trace) = &mut self.nodes[index].trace {
             let event = event.clone();
@@ -376,17 +398,22 @@
     serde_json::to_string(record).expect("a record is JSON")
 }
 
-fn plans() -> String {
+/// Returns the record body by which operators declare the service.
+pub(crate) fn plans() -> Body {
     let declared = format!(
         r#"{{"plans": {{}}, "services": {{"ordering": {{"routes": [{{"idempotent": true, "methods": ["GET"], "prefix": "/"}}], "shards": {SHARDS}}}}}}}"#
     );
     let plans: Plans = serde_json::from_str(&declared).expect("the plans are valid");
+    Body::Publish {
+        base: 0,
+        document: Document::Plans(plans),
+    }
+}
+
+fn first_record() -> String {
     text(&Record {
-        body: Body::Publish {
-            base: 0,
-            document: Document::Plans(plans),
-        },
+        body: plans(),
         id: "plans".to_owned(),
-        writer: "operator".to_owned(),
+        writer: OPERATOR.to_owned(),
     })
 }
--- a/crates/records/src/batch.rs
+++ b/crates/records/src/batch.rs
@@ -1,5 +1,6 @@
 //! Result of a read.
 
+use ids::Generation;
 use ids::Offset;
 use serde::Deserialize;
 use serde::Serialize;
@@ -11,6 +12,9 @@
 pub struct Batch {
     /// Oldest offset that the log keeps.
     pub first: Offset,
+    /// Current generation of the log. If it is later than that of the records, no more follow in theirs.
+    #[serde(default)]
+    pub generation: Generation,
     /// Offset of the next record to be appended.
     pub next: Offset,
     /// The records, in order.
--- a/crates/records/src/log.rs
+++ b/crates/records/src/log.rs
@@ -9,6 +9,8 @@
 use crate::ReadError;
 
 /// An append-only log. Calls block and must be made from dedicated threads. Offsets start at 1.
+///
+/// A log that was restored from a backup continues in a new generation, which is empty at first.
 pub trait Log: Send + Sync + 'static {
     /// Appends one record. It is certain that the record is in the log only once it is read back.
     ///
@@ -30,7 +32,8 @@
         Ok(())
     }
 
-    /// Reads up to `max` records, starting at offset `from`, and waits up to `wait` for the first.
+    /// Reads up to `max` records of one generation, starting at offset `from`, and waits up to `wait` for the first.
+    /// Appends then go to the latest generation that was read from.
     ///
     /// # Errors
     ///
--- a/crates/records/src/memory_log.rs
+++ b/crates/records/src/memory_log.rs
@@ -89,6 +89,7 @@
             .collect();
         Ok(Batch {
             first,
+            generation: 0,
             next: self.next(),
             records,
         })
--- a/crates/router/src/control/log_reader.rs
+++ b/crates/router/src/control/log_reader.rs
@@ -6,6 +6,11 @@
 use std::thread;
 use std::time::Duration;
 
+use cluster::SnapshotReader;
+use ids::Generation;
+use ids::Offset;
+use ids::first_offset;
+use ids::generation_of;
 use membership::Event;
 use membership::ReadPacing;
 use records::Batch;
@@ -60,6 +65,7 @@
     }
 
     fn run(&self) {
+        let mut has_forwarded = false;
         let mut wait = Duration::ZERO;
         loop {
             let from = self.cursor.load(Ordering::SeqCst).max(1);
@@ -67,13 +73,22 @@
                 Ok(batch) => {
                     self.shared.record_log_read();
                     self.shared.record_dependency_answer(Dependency::Log, "");
+                    let generation = batch.generation;
                     let last = batch.records.last();
                     let is_at_end = last.is_some_and(|last| last.offset + 1 >= batch.next);
-                    self.forward(batch);
-                    if is_at_end {
-                        let members = self.shared.view().fleet.members().len();
-                        let uptime = self.shared.clock.now();
-                        thread::sleep(self.pacing.pause(members, uptime));
+                    let is_followed = generation > generation_of(from);
+                    if is_followed && !has_forwarded && self.has_first_state(generation) {
+                        // A process that has just started needs no records of earlier generations.
+                        self.enter_generation(generation);
+                        continue;
+                    }
+                    has_forwarded = true;
+                    let is_empty = batch.records.is_empty();
+                    self.forward(batch, is_followed);
+                    if is_followed && (is_at_end || is_empty) {
+                        self.enter_next_generation(from, generation);
+                    } else if is_at_end {
+                        thread::sleep(self.pause(generation));
                     }
                     wait = self.wait;
                 }
@@ -86,20 +101,79 @@
         }
     }
 
-    fn forward(&self, batch: Batch) {
+    /// Returns the pause after all of the log has been read, the shortest one until the state with which `generation` begins
+    /// is known.
+    fn pause(&self, generation: Generation) -> Duration {
+        let fleet = &self.shared.view().fleet;
+        let uptime = match generation_of(fleet.next_offset()) < generation {
+            true => Duration::ZERO,
+            false => self.shared.clock.now(),
+        };
+        self.pacing.pause(fleet.members().len(), uptime)
+    }
+
+    /// Reports whether a generation begins with a complete state, as far as one read tells.
+    fn has_first_state(&self, generation: Generation) -> bool {
+        let start = first_offset(generation);
+        match self.log.read(start, MAX_READ_RECORDS, Duration::ZERO) {
+            Ok(batch) => {
+                let mut reader = SnapshotReader::default();
+                let mut records = batch.records.iter();
+                records.any(|record| matches!(reader.add(record.body.as_bytes()), Ok(Some(_))))
+            }
+            // Records expire long after the first state was written.
+            Err(ReadError::Expired { .. }) => true,
+            Err(ReadError::Unavailable(_)) => false,
+        }
+    }
+
+    /// Continues with the latest generation that has records, or with `current` if no later one than that of `from` has any.
+    fn enter_next_generation(&self, from: Offset, current: Generation) {
+        let later = (generation_of(from) + 1..=current).rev();
+        for generation in later {
+            match self.log.read(first_offset(generation), 1, Duration::ZERO) {
+                Ok(batch) if batch.records.is_empty() => {}
+                Ok(_) | Err(ReadError::Expired { .. }) => {
+                    self.enter_generation(generation);
+                    return;
+                }
+                Err(error @ ReadError::Unavailable(_)) => {
+                    self.handle_error(&error);
+                    return;
+                }
+            }
+        }
+        self.enter_generation(current);
+    }
+
+    fn enter_generation(&self, generation: Generation) {
+        log::warn!("the log was restored and continues in generation {generation}");
+        self.control.send_event(Event::LogRestored { generation });
+        self.cursor
+            .fetch_max(first_offset(generation), Ordering::SeqCst);
+    }
+
+    /// Passes records to the control thread. `is_followed` tells that the log continues in a later generation.
+    fn forward(&self, batch: Batch, is_followed: bool) {
         let bytes = batch.records.iter().map(|stored| stored.body.len()).sum();
         self.shared.control_traffic.count_log_call(bytes);
         let Some(last) = batch.records.last() else {
-            self.control.send_event(Event::LogIdle);
+            if !is_followed {
+                self.control.send_event(Event::LogIdle);
+            }
             return;
         };
+        let next = match is_followed {
+            true => first_offset(batch.generation),
+            false => batch.next,
+        };
         self.cursor.fetch_max(last.offset + 1, Ordering::SeqCst);
         let records = batch
             .records
             .into_iter()
             .map(|stored| (stored.offset, stored.body));
         self.control.send_event(Event::Records {
-            next: batch.next,
+            next,
             records: records.collect(),
         });
     }
--- a/crates/router/src/record_store.rs
+++ b/crates/router/src/record_store.rs
@@ -6,6 +6,8 @@
 use std::sync::PoisonError;
 
 use ids::Offset;
+use ids::first_offset;
+use ids::generation_of;
 
 /// Maximum total size of the stored records, in bytes.
 const MAX_STORED_BYTES: usize = 4 << 20;
@@ -38,12 +40,19 @@
         stored.trim();
     }
 
-    /// Returns up to `max` records from offset `from` on, or none if `from` is no longer stored.
+    /// Returns up to `max` records from offset `from` on, or none if `from` is no longer stored. A reader of an earlier
+    /// generation gets all records of this one.
     pub(crate) fn read(&self, from: Offset, max: usize) -> Vec<(Offset, String)> {
         let stored = self.lock();
         let Some((first, _)) = stored.records.front() else {
             return Vec::new();
         };
+        let generation = generation_of(*first);
+        let is_whole = *first == first_offset(generation);
+        let from = match is_whole && generation_of(from) < generation {
+            true => *first,
+            false => from,
+        };
         let Some(skipped) = from.checked_sub(*first) else {
             return Vec::new();
         };
