Claim at homes too that a key is withdrawn only while the log is read

What callers saw: nothing yet, found by review. A home that lacks a manifest and has read as far as its entry, as after a restore of the log, answered 401 for a key that the entry knew to be in force. So did an entry that had itself read a newer manifest from the operators and not yet from the log.

Change: a home that has not read all of the log refuses such a request as `uninformed`, 503 and not run. A process that knows of an unpublished newer manifest does not count as up to date.

--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -203,7 +203,10 @@
     ///
     /// Contact with witnesses does not suffice: they may be as far behind.
     pub fn is_up_to_date(&self, now: Duration) -> bool {
-        self.log.is_healthy(now)
+        let declared = self.declarations.manifest.as_ref();
+        let has_unpublished =
+            declared.is_some_and(|manifest| manifest.revision > self.log.fleet().revision());
+        self.log.is_healthy(now) && !has_unpublished
     }
 
     /// Reports whether the process may answer a pull of a peer: its information comes from the log or
--- a/crates/router/src/home/request_starter.rs
+++ b/crates/router/src/home/request_starter.rs
@@ -115,7 +115,10 @@
         let fleet = &self.view.fleet;
         let tenant_key = waiting.tenant_key.as_ref();
         if tenant_key.is_some_and(|prefix| !fleet.accepts_key(prefix, waiting.entry_offset)) {
-            return Err(Reason::KeyWithdrawn);
+            return Err(match self.view.is_up_to_date {
+                true => Reason::KeyWithdrawn,
+                false => Reason::Uninformed,
+            });
         }
         let Some(granted) = GrantedUnit::verify(&self.view, waiting)? else {
             return Ok(None);
