Skip what was appended to a generation of the log after its end

Found by review: processes that do not know of a restore append to the former generation, at offsets that were given out before. A process that had read up to there folded such a record onto the history that was lost. It now skips to the next generation if it has read its own while that was the current one. A process that starts still reads the former one to its end where nothing later is written. Covered in part by mesh restores; no test fails before.

--- a/crates/router/src/control/log_reader.rs
+++ b/crates/router/src/control/log_reader.rs
@@ -66,6 +66,8 @@
 
     fn run(&self) {
         let mut has_forwarded = false;
+        // Generation that was read while it was the current one.
+        let mut known_generation = None;
         let mut wait = Duration::ZERO;
         loop {
             let from = self.cursor.load(Ordering::SeqCst).max(1);
@@ -77,7 +79,13 @@
                     let last = batch.records.last();
                     let is_at_end = last.is_some_and(|last| last.offset + 1 >= batch.next);
                     let is_followed = generation > generation_of(from);
-                    if is_followed && !has_forwarded && self.has_first_state(generation) {
+                    if !is_followed {
+                        known_generation = Some(generation);
+                    } else if known_generation == Some(generation_of(from)) {
+                        // What follows was appended by processes that do not know of the restore.
+                        self.enter_next_generation(from, generation);
+                        continue;
+                    } else if !has_forwarded && self.has_first_state(generation) {
                         // A process that has just started needs no records of earlier generations.
                         self.enter_generation(generation);
                         continue;
