--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -81,7 +81,8 @@
         let mut differing = declared.symmetric_difference(&out);
         let zone = differing.find(|zone| {
             let position = fleet.zone_position(zone);
-            position <= self.declarations.position
+            // Declarations that were read up to the same position do not differ, unless some were lost.
+            position < self.declarations.position
                 && (declared.contains(*zone) || self.is_withdrawn_after(position, now))
         })?;
         Some(Body::Zone {
