Renew no lease of a member that follows a former generation of the log

Change: a heartbeat states the generation that its sender has adopted, and a witness renews none of a former one. A member whose lease does not hold when it adopts a state withholds all its units until it has joined anew. The first state is pulled from peers after 1.5 s, sooner than a lease ends. Turns to write it are bounded, so that members come before processes that know only of the backup.

--- a/crates/membership/src/agent_restore.rs
+++ b/crates/membership/src/agent_restore.rs
@@ -15,6 +15,7 @@
 use crate::MemberState;
 use crate::times::BACKUP_CONTINUATION_DELAY;
 use crate::times::CONTINUATION_TURN_DELAY;
+use crate::times::MAX_CONTINUATION_TURNS;
 use crate::times::NON_MEMBER_CONTINUATION_DELAY;
 
 impl Agent {
@@ -54,6 +55,7 @@
         let order = fleet.ranked_snapshot_writers();
         let turn = order.iter().position(|vm| **vm == self.cfg.vm);
         let turns = u32::try_from(turn.unwrap_or(order.len())).unwrap_or(u32::MAX);
+        let turns = turns.min(MAX_CONTINUATION_TURNS);
         let is_member = matches!(self.state, MemberState::Active(_)) && self.lease.holds(now);
         let first = if is_member {
             Duration::ZERO
@@ -62,7 +64,7 @@
         } else {
             BACKUP_CONTINUATION_DELAY
         };
-        first + CONTINUATION_TURN_DELAY.saturating_mul(turns)
+        first + CONTINUATION_TURN_DELAY * turns
     }
 
     /// Adopts the first state of a new generation. `known_until` is the offset up to which this process had read the former
@@ -73,13 +75,17 @@
     pub(crate) fn adopt_generation(&mut self, now: Duration, known_until: Offset) {
         let fleet = self.log.fleet();
         let generation = generation_of(fleet.next_offset());
-        if fleet.snapshot_through() >= first_offset(generation) {
-            // The next snapshot is written long after all earlier leases have ended.
-            return;
+        // A later snapshot is written long after all leases of the former generation have ended.
+        let is_first_state = fleet.snapshot_through() < first_offset(generation);
+        if is_first_state {
+            let until = now + self.cfg.lease + DRIFT_MARGIN;
+            self.owned_units.delay_joined_units(until);
         }
-        let until = now + self.cfg.lease + DRIFT_MARGIN;
-        self.owned_units.delay_joined_units(until);
         if let Some(incarnation) = self.state.incarnation() {
+            if !self.lease.holds(now) {
+                // The member may have been declared lost by a record that nobody knows any more.
+                self.owned_units.clear();
+            }
             self.owned_units
                 .withhold_reverted(fleet, &self.cfg.vm, incarnation, known_until);
         }
--- a/crates/membership/src/agent_witness.rs
+++ b/crates/membership/src/agent_witness.rs
@@ -5,6 +5,7 @@
 
 use cluster::Body;
 use ids::VmId;
+use ids::generation_of;
 
 use crate::Action;
 use crate::Agent;
@@ -34,7 +35,10 @@
         let contact = self
             .watched_members
             .record_heartbeat(now, self.log.fleet(), heartbeat);
-        let renewal = contact && self.lease.has_contact(now);
+        // A member that follows a former generation of the log may serve what has another owner in this one.
+        let is_current =
+            generation_of(heartbeat.next) >= generation_of(self.log.fleet().next_offset());
+        let renewal = contact && is_current && self.lease.has_contact(now);
         if renewal {
             self.watched_members.record_renewal(now, &heartbeat.from);
         }
@@ -117,7 +121,7 @@
             let heartbeat = Heartbeat {
                 from: self.cfg.vm.clone(),
                 incarnation,
-                next: self.log.next_offset(),
+                next: self.log.fleet().next_offset(),
                 sequence,
             };
             let to = witness.join.peer;
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -51,14 +51,17 @@
 pub(crate) const FIRST_MANIFEST_DELAY: Duration = Duration::from_millis(2_500);
 
 /// Time after which the next process in turn writes its state to a log that was restored from a backup.
-pub(crate) const CONTINUATION_TURN_DELAY: Duration = Duration::from_millis(300);
+pub(crate) const CONTINUATION_TURN_DELAY: Duration = Duration::from_millis(200);
+
+/// Maximum number of turns that a process waits, so that members write their state before others.
+pub(crate) const MAX_CONTINUATION_TURNS: u32 = 10;
 
 /// Time that members have to write their state to a restored log before other processes write theirs.
-pub(crate) const NON_MEMBER_CONTINUATION_DELAY: Duration = Duration::from_secs(1);
+pub(crate) const NON_MEMBER_CONTINUATION_DELAY: Duration = Duration::from_millis(2_100);
 
 /// Time that processes that had read all of the log before its restore have to write their state before others, which know
 /// only of the backup, write theirs.
-pub(crate) const BACKUP_CONTINUATION_DELAY: Duration = Duration::from_secs(2);
+pub(crate) const BACKUP_CONTINUATION_DELAY: Duration = Duration::from_millis(3_000);
 
 /// Time after the first declaration of a generation for which a zone stays out of service although it is not declared out
 /// any more, since operators may not have repeated a declaration that was lost with a restore.
@@ -141,8 +144,8 @@
 pub(crate) const PULL_AFTER_LAG: Duration = Duration::from_millis(700);
 
 /// Time after which a member that reads the first state of a generation from the log pulls it from its witnesses instead. The
-/// state is large, and all members read it at once.
-pub(crate) const FIRST_STATE_PULL_DELAY: Duration = Duration::from_secs(3);
+/// state is large, and all members read it at once. Shorter than a lease, which former owners wait for.
+pub(crate) const FIRST_STATE_PULL_DELAY: Duration = Duration::from_millis(1_500);
 
 /// Time between two pulls from peers.
 pub(crate) const PULL_INTERVAL: Duration = Duration::from_millis(500);
