--- /dev/null
+++ b/crates/membership/tests/support/mod.rs
@@ -0,0 +1,25 @@
+//! Agents for tests.
+
+use std::time::Duration;
+
+use cluster::LEASE;
+use membership::Agent;
+use membership::AgentSettings;
+
+/// Time that a read of the log waits for records.
+const LOG_WAIT: Duration = Duration::from_secs(60);
+
+/// Returns the agent of a process that has just started.
+pub(crate) fn agent() -> Agent {
+    Agent::new(AgentSettings {
+        lease: LEASE,
+        load_tolerance: None,
+        log_wait: LOG_WAIT,
+        peer: "10.0.0.1:7000".parse().unwrap(),
+        region: "r".to_owned(),
+        retention: None,
+        seed: 7,
+        vm: "vm-1".to_owned(),
+        zone: "z".to_owned(),
+    })
+}
