Count only requests to a cold upstream against its cold rate

Callers saw 503 for seconds when an upstream turned cold again. Cause: the limiter recorded each request also while the upstream was warm, and spaced them at the cold rate. With a load above that rate the next allowed time moved into the future without bound: after 10 s at 50 requests/s and a cold rate of 20/s it lay 15 s ahead.

--- a/crates/policy/src/cold_rate_limiter.rs
+++ b/crates/policy/src/cold_rate_limiter.rs
@@ -40,7 +40,7 @@
 
     /// Records that a request is sent.
     pub fn record_sent(&mut self, now: Duration) {
-        if self.requests_per_second > 0 {
+        if self.is_cold(now) {
             let interval = Duration::from_secs(1) / self.requests_per_second;
             self.next_at = self.next_at.max(now.saturating_sub(interval)) + interval;
         }
--- a/crates/policy/tests/ranked.rs
+++ b/crates/policy/tests/ranked.rs
@@ -128,3 +128,14 @@
         "an earlier end of the cold time changes nothing"
     );
 }
+
+#[test]
+fn an_upstream_that_becomes_cold_after_more_load_than_its_cold_rate_still_gets_requests() {
+    let mut limiter = ColdRateLimiter::default();
+    limiter.set_rate(20);
+    for ms in (0..10_000).step_by(20) {
+        limiter.record_sent(ms * MS);
+    }
+    limiter.extend_cold_until(15_000 * MS);
+    assert!(limiter.allows(10_050 * MS));
+}
