--- a/crates/policy/tests/ranked.rs
+++ b/crates/policy/tests/ranked.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use policy::ColdRateLimiter;
 use policy::PushResult;
 use policy::Queue;
 use policy::QueuedRequest;
 use policy::RankedQueue;
+use policy::StartRateLimiter;
 use policy::compute_rank;
 
 const MS: Duration = Duration::from_millis(1);
@@ -94,8 +94,8 @@
 
 #[test]
 fn a_cold_upstream_gets_at_most_its_rate_and_one_in_any_second() {
-    let mut limiter = ColdRateLimiter::default();
-    limiter.set_rate(19);
+    let mut limiter = StartRateLimiter::default();
+    limiter.set_cold_rate(19);
     limiter.restart(5_000 * MS);
     let mut sent = Vec::new();
     for ms in 0..5_000 {
@@ -115,8 +115,8 @@
 
 #[test]
 fn an_upstream_that_becomes_cold_again_is_rate_limited_at_once() {
-    let mut limiter = ColdRateLimiter::default();
-    limiter.set_rate(5);
+    let mut limiter = StartRateLimiter::default();
+    limiter.set_cold_rate(5);
     assert!(!limiter.is_cold(10 * MS));
     limiter.extend_cold_until(1_000 * MS);
     limiter.record_sent(10 * MS);
@@ -131,8 +131,8 @@
 
 #[test]
 fn an_upstream_that_becomes_cold_after_more_load_than_its_cold_rate_still_gets_requests() {
-    let mut limiter = ColdRateLimiter::default();
-    limiter.set_rate(20);
+    let mut limiter = StartRateLimiter::default();
+    limiter.set_cold_rate(20);
     for ms in (0..10_000).step_by(20) {
         limiter.record_sent(ms * MS);
     }
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -10,8 +10,8 @@
 use ids::RequestId;
 use ids::Unit;
 use ids::WorkspaceId;
+use membership::UpstreamProcess;
 use policy::AdaptiveConcurrencyLimiter;
-use policy::ColdRateLimiter;
 use policy::Completion;
 use policy::ConcurrencyLimiter;
 use policy::FairQueue;
@@ -25,6 +25,7 @@
 use policy::RankedQueue;
 use policy::RequestMemory;
 use policy::ServiceTimes;
+use policy::StartRateLimiter;
 use policy::Suspects;
 use policy::Ticket;
 use telemetry::DecisionDetails;
@@ -54,14 +55,14 @@
 #[derive(Debug)]
 pub(crate) struct HomeState {
     pub(crate) units: UnitTracker,
-    pub(crate) cold: ColdRateLimiter,
+    pub(crate) cold: StartRateLimiter,
     /// The request that starts next, blocked for now by requests that run.
     pub(crate) blocked: Option<QueuedRequest<WaitingRequest>>,
     /// Offset of the fleet state that was last applied.
     fleet_offset: Offset,
     serving: Arc<BTreeMap<Unit, Fence>>,
-    /// Instance of an upstream that is about to stop, and the time from which it gets no more requests.
-    pub(crate) stopping: Option<(String, Duration)>,
+    /// Upstream processes that are about to stop, with the time from which each gets no more requests.
+    stopping: BTreeMap<UpstreamProcess, Duration>,
     pub(crate) limiter: Box<dyn ConcurrencyLimiter + Send>,
     pub(crate) memory: RequestMemory<StoredAnswer>,
     /// Units that the upstream reported it does not hold, until its next report.
@@ -131,10 +132,10 @@
     pub(crate) fn new(now: Duration, limits: &Limits, policy: &PolicySettings) -> Self {
         Self {
             units: UnitTracker::new(policy.load_memory(), policy.weighs_request_time),
-            cold: ColdRateLimiter::default(),
+            cold: StartRateLimiter::default(),
             blocked: None,
             fleet_offset: 0,
-            stopping: None,
+            stopping: BTreeMap::new(),
             serving: Arc::default(),
             limiter: new_limiter(now, limits, policy.limit),
             not_held: BTreeSet::new(),
@@ -148,18 +149,17 @@
         }
     }
 
-    /// Switches to the accepted upstream if it is a new instance. A new instance starts cold.
+    /// Switches to the accepted upstream if it is a new process. A new process starts cold.
     pub(crate) fn update_upstream(&mut self, now: Duration, view: &View, shared: &Shared) {
         let Some(announcement) = &view.upstream else {
             return;
         };
-        let current = self
-            .upstream
-            .as_ref()
-            .map(|upstream| &upstream.announcement.instance);
-        if current == Some(&announcement.instance) {
+        let current = self.upstream.as_ref();
+        if current.is_some_and(|current| current.announcement.is_same_process(announcement)) {
             return;
         }
+        let process = announcement.process();
+        self.stopping.retain(|stopping, _| *stopping == process);
         self.limiter.restart(now, announcement.slots);
         self.service_times.clear();
         let declared = view.fleet.plans().services.get(&announcement.service);
@@ -186,7 +186,7 @@
             let declared = view.fleet.plans().services.get(service);
             let cold_start = declared.and_then(|declared| declared.cold_start);
             self.cold
-                .set_rate(cold_start.map_or(0, |cold| cold.requests_per_second));
+                .set_cold_rate(cold_start.map_or(0, |cold| cold.requests_per_second));
         }
     }
 
@@ -280,10 +280,17 @@
 
     /// Reports whether the upstream is stopping and its drain time is over, so that it gets no more requests.
     pub(crate) fn is_drain_time_over(&self, now: Duration) -> bool {
-        let upstream = self.upstream.as_ref();
-        let instance = upstream.map(|upstream| &upstream.announcement.instance);
-        let stopping = self.stopping.as_ref();
-        stopping.is_some_and(|(stopping, until)| instance == Some(stopping) && now >= *until)
+        let Some(upstream) = &self.upstream else {
+            return false;
+        };
+        let until = self.stopping.get(&upstream.announcement.process());
+        until.is_some_and(|until| now >= *until)
+    }
+
+    /// Records that a process of the upstream is about to stop, and gets requests until `until` at most. A later time changes
+    /// nothing.
+    pub(crate) fn record_stopping(&mut self, process: UpstreamProcess, until: Duration) {
+        self.stopping.entry(process).or_insert(until);
     }
 
     /// Returns the details of a decision that describe the load of the upstream.
