Identify an upstream by its instance and its start

Callers got 503 for every request to a server that had announced its stop and then started again under its old id. Cause: the home kept the end of the drain time by instance id alone, and took the new process for the old one; slots, service times and connections were kept as well. Announcements now name the start of the process, the view publishes what the agent accepted rather than what arrived last, and a leave is recorded for the accepted process only.

--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -136,7 +136,7 @@
             }
             Event::Tick => self.tick(now, actions),
             Event::UnitLoads { loads } => self.loads.unit_loads = loads,
-            Event::UpstreamLeft { instance } => self.upstream.record_leave(&instance),
+            Event::UpstreamLeft { process } => self.upstream.record_leave(&process),
             Event::UpstreamLost => self.upstream.record_connection_loss(now),
         }
     }
--- a/crates/membership/src/announcement.rs
+++ b/crates/membership/src/announcement.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::UpstreamProcess;
+
 /// Description that the local upstream gives of itself, repeated every second.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Announcement {
@@ -16,7 +18,7 @@
     pub checks_grants: bool,
     /// Number of connections that the upstream accepts.
     pub connections: u32,
-    /// Id of the upstream process, new at every start.
+    /// Id of the upstream instance, new at every start unless `started_unix_ms` is.
     pub instance: String,
     /// Whether the upstream polls its grants by check-ins, instead of being sent grants.
     #[serde(default)]
@@ -25,4 +27,22 @@
     pub service: ServiceId,
     /// Number of requests that the upstream runs at once.
     pub slots: u32,
+    /// Start time of the upstream process, in milliseconds since the Unix epoch, or 0 if it is not known.
+    #[serde(default, rename = "born_unix_ms")]
+    pub started_unix_ms: u64,
+}
+
+impl Announcement {
+    /// Returns the identity of the upstream process.
+    pub fn process(&self) -> UpstreamProcess {
+        UpstreamProcess {
+            instance: self.instance.clone(),
+            started_unix_ms: self.started_unix_ms,
+        }
+    }
+
+    /// Reports whether two announcements describe the same upstream process.
+    pub fn is_same_process(&self, other: &Self) -> bool {
+        self.instance == other.instance && self.started_unix_ms == other.started_unix_ms
+    }
 }
--- a/crates/membership/src/check_in.rs
+++ b/crates/membership/src/check_in.rs
@@ -14,9 +14,6 @@
 pub struct CheckIn {
     /// Announcement of the upstream.
     pub announcement: Announcement,
-    /// Start time of the upstream process, in milliseconds since the Unix epoch.
-    #[serde(rename = "born_unix_ms")]
-    pub started_unix_ms: u64,
     /// Whether the upstream is about to stop.
     pub draining: bool,
     /// Units that the upstream released since its last answered check-in, each with the data for the next owner's
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -17,6 +17,7 @@
 use crate::Heartbeat;
 use crate::HeartbeatAnswer;
 use crate::OperatorDeclarations;
+use crate::UpstreamProcess;
 
 /// An event that an agent handles. The time passed with it is read after the event arrived.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -108,10 +109,10 @@
         /// Load by unit.
         loads: BTreeMap<Unit, f64>,
     },
-    /// The local upstream, which polls its grants, has ended or ends soon.
+    /// The local upstream has ended or ends soon.
     UpstreamLeft {
-        /// Id of the upstream process.
-        instance: String,
+        /// The upstream process.
+        process: UpstreamProcess,
     },
     /// The connection to the local upstream was refused.
     UpstreamLost,
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -93,6 +93,7 @@
 mod upstream;
 mod upstream_health;
 mod upstream_polled;
+mod upstream_process;
 mod watched_member;
 mod watched_members;
 mod witness_link;
@@ -122,6 +123,7 @@
 pub use trace::Trace;
 pub use trace_error::TraceError;
 pub use trace_line::TraceLine;
+pub use upstream_process::UpstreamProcess;
 
 pub(crate) use absent::Absent;
 pub(crate) use active::Active;
--- a/crates/membership/src/upstream.rs
+++ b/crates/membership/src/upstream.rs
@@ -14,6 +14,7 @@
 use crate::GrantAnswer;
 use crate::InFlightGrant;
 use crate::UpstreamHealth;
+use crate::UpstreamProcess;
 use crate::times::GRANT_RENEWAL_ADVANCE;
 use crate::times::GRANT_TIMEOUT;
 use crate::times::POLLED_SILENCE_TIMEOUT;
@@ -45,7 +46,6 @@
     /// Increases whenever `confirmed` changes.
     pub(crate) revision: u64,
     sequence: u64,
-    pub(crate) started_unix_ms: u64,
     /// Whether another instance has answered in place of the accepted one.
     superseded: bool,
 }
@@ -309,9 +309,10 @@
         self.health.tick(now, was_paused, silence_timeout);
     }
 
-    /// Records that an instance of the upstream has ended or is about to end.
-    pub(crate) fn record_leave(&mut self, instance: &str) {
-        if self.is_instance(instance) {
+    /// Records that a process of the upstream has ended or is about to end.
+    pub(crate) fn record_leave(&mut self, process: &UpstreamProcess) {
+        let accepted = self.accepted.as_ref();
+        if accepted.is_some_and(|accepted| accepted.process() == *process) {
             self.draining = true;
         }
     }
--- a/crates/membership/src/upstream_polled.rs
+++ b/crates/membership/src/upstream_polled.rs
@@ -18,12 +18,14 @@
     /// Updates the upstream from a check-in. Returns `false` without a change if the check-in comes from an earlier instance
     /// or is not newer than the last one.
     pub(crate) fn record_check_in(&mut self, now: Duration, check_in: &CheckIn) -> bool {
-        let is_same = self.is_instance(&check_in.announcement.instance)
-            && self.started_unix_ms == check_in.started_unix_ms;
+        let announcement = &check_in.announcement;
+        let accepted = self.accepted.as_ref();
+        let is_same = accepted.is_some_and(|accepted| accepted.is_same_process(announcement));
         let is_older = if is_same {
             check_in.sequence <= self.last_check_in
         } else {
-            self.accepted.is_some() && check_in.started_unix_ms <= self.started_unix_ms
+            let started_unix_ms = announcement.started_unix_ms;
+            accepted.is_some_and(|accepted| started_unix_ms <= accepted.started_unix_ms)
         };
         if is_older {
             return false;
@@ -32,7 +34,6 @@
             self.held.clear();
             self.clear_confirmed();
             self.health.reset();
-            self.started_unix_ms = check_in.started_unix_ms;
         }
         self.accepted = Some(check_in.announcement.clone());
         self.draining = check_in.draining;
--- a/crates/membership/tests/model/node.rs
+++ b/crates/membership/tests/model/node.rs
@@ -93,6 +93,7 @@
             polls_grants: false,
             service: "ordering".to_owned(),
             slots: 10,
+            started_unix_ms: 0,
         }
     }
 
--- a/crates/router/src/announce_service.rs
+++ b/crates/router/src/announce_service.rs
@@ -60,6 +60,7 @@
                 polls_grants: false,
                 service: announcement.service,
                 slots: announcement.slots,
+                started_unix_ms: 0,
             }));
         let body = serde_json::json!({ "accepted": is_accepted });
         let status = if is_accepted {
--- a/crates/router/src/check_in_service.rs
+++ b/crates/router/src/check_in_service.rs
@@ -60,8 +60,7 @@
     async fn handle(&self, req: Request<Bytes>) -> Response<Bytes> {
         match self.environment.parse_message(&req) {
             Ok(UpstreamMessage::Left { instance }) => {
-                self.home.record_stopping(&instance);
-                self.control.send_event(Event::UpstreamLeft { instance });
+                self.record_leave(&instance);
                 self.environment.build_response(None)
             }
             Ok(UpstreamMessage::CheckIn(check_in)) => self.handle_check_in(check_in).await,
@@ -78,16 +77,32 @@
 }
 
 impl CheckInService {
+    /// Records that the upstream has left or is about to leave. Only the accepted one gets requests.
+    fn record_leave(&self, instance: &str) {
+        let view = self.shared.view();
+        let Some(upstream) = view
+            .upstream
+            .as_ref()
+            .filter(|upstream| upstream.instance == instance)
+        else {
+            return;
+        };
+        let process = upstream.process();
+        self.home.record_stopping(process.clone());
+        self.control.send_event(Event::UpstreamLeft { process });
+    }
+
     async fn handle_check_in(&self, check_in: UpstreamCheckIn) -> Response<Bytes> {
         let service = check_in.service.clone();
         self.shared
             .record_dependency_answer(Dependency::Upstream, "");
-        self.home
-            .record_cold_time(&check_in.instance, check_in.warm_up_left);
-        if check_in.draining {
-            self.home.record_stopping(&check_in.instance);
-        }
+        let (draining, warm_up_left) = (check_in.draining, check_in.warm_up_left);
         let agent_check_in = self.build_check_in(check_in);
+        let process = agent_check_in.announcement.process();
+        self.home.record_cold_time(&process, warm_up_left);
+        if draining {
+            self.home.record_stopping(process);
+        }
         let held: BTreeSet<UnitFence> = agent_check_in.held.iter().cloned().collect();
         let answer = self.control.check_in(agent_check_in);
         let answered = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
@@ -124,8 +139,8 @@
                 polls_grants: true,
                 service: check_in.service,
                 slots: check_in.slots,
+                started_unix_ms: check_in.started_unix_ms,
             },
-            started_unix_ms: check_in.started_unix_ms,
             draining: check_in.draining,
             handovers,
             held,
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -14,10 +14,8 @@
 use ids::Unit;
 use membership::Action;
 use membership::Agent;
-use membership::Announcement;
 use membership::CheckInAnswer;
 use membership::Event;
-use membership::Status;
 use records::Log;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
@@ -78,7 +76,6 @@
 
 /// Passes events to the membership agent and performs the actions that it returns.
 pub(crate) struct ControlLoop {
-    announced: Option<Announcement>,
     pending_check_ins: BTreeMap<u64, oneshot::Sender<CheckInAnswer>>,
     /// Units that are being handed over, with the start time of each handover.
     draining: BTreeMap<Unit, Duration>,
@@ -92,7 +89,6 @@
 impl ControlLoop {
     pub(crate) fn new(parts: ControlParts) -> Self {
         Self {
-            announced: None,
             pending_check_ins: BTreeMap::new(),
             draining: BTreeMap::new(),
             fleet_copy: FleetCopy::default(),
@@ -248,10 +244,6 @@
         match event {
             Event::Announced(announcement) => {
                 self.parts.upstream.set_announcement(announcement);
-                self.announced = Some(announcement.clone());
-            }
-            Event::CheckedIn(check_in) => {
-                self.announced = Some(check_in.announcement.clone());
             }
             Event::PeerRecords { records, .. } => {
                 self.parts.shared.record_log_read();
@@ -369,7 +361,10 @@
             Arc::new(agent.serving_units().clone())
         };
         let status = Arc::new(agent.status(now));
-        let upstream = self.accepted_upstream(&status);
+        let upstream = match (agent.upstream(), &current.upstream) {
+            (Some(accepted), Some(known)) if *accepted == **known => Some(Arc::clone(known)),
+            (accepted, _) => accepted.cloned().map(Arc::new),
+        };
         self.parts.shared.publish(View {
             can_answer_pulls: agent.can_answer_pulls(now),
             fleet,
@@ -381,10 +376,4 @@
             upstream,
         });
     }
-
-    fn accepted_upstream(&self, status: &Status) -> Option<Arc<Announcement>> {
-        let announced = self.announced.as_ref()?;
-        let accepted = status.upstream_instance.as_ref() == Some(&announced.instance);
-        accepted.then(|| Arc::new(announced.clone()))
-    }
 }
--- a/crates/router/src/home/home_reports.rs
+++ b/crates/router/src/home/home_reports.rs
@@ -3,17 +3,18 @@
 use std::time::Duration;
 
 use ids::Unit;
+use membership::UpstreamProcess;
 
 use crate::home::Home;
 
 impl Home {
     /// Records the remaining time for which the upstream reports that it is cold.
-    pub(crate) fn record_cold_time(&self, instance: &str, left: Duration) {
+    pub(crate) fn record_cold_time(&self, process: &UpstreamProcess, left: Duration) {
         let until = self.shared.clock.now() + left;
         let mut state = self.lock();
         state.not_held.clear();
         let current = state.upstream.as_ref();
-        let is_new = current.is_none_or(|current| current.announcement.instance != instance);
+        let is_new = current.is_none_or(|current| current.announcement.process() != *process);
         if is_new {
             state.cold.restart(until);
         } else {
@@ -28,16 +29,11 @@
         self.lock().not_held.insert(unit);
     }
 
-    /// Records that an instance of the upstream is about to stop or has stopped.
+    /// Records that a process of the upstream is about to stop or has stopped.
     ///
     /// It gets requests for the drain time, in which its units move to other members.
-    pub(crate) fn record_stopping(&self, instance: &str) {
-        let now = self.shared.clock.now();
-        let mut state = self.lock();
-        let current = state.stopping.as_ref();
-        if current.is_none_or(|(stopping, _)| stopping != instance) {
-            let until = now + self.shared.limits.drain();
-            state.stopping = Some((instance.to_owned(), until));
-        }
+    pub(crate) fn record_stopping(&self, process: UpstreamProcess) {
+        let until = self.shared.clock.now() + self.shared.limits.drain();
+        self.lock().record_stopping(process, until);
     }
 }
