Read and log the rate that an upstream states in its answers

No line or metric named the stated rate, so that the hypotheses on the violated limit could not be told apart. The client of the upstream reads the headers of each answer that belongs to its request, also of refusals, and keeps them from callers, who saw them before. The home logs upstream-limited, upstream-unlimited and upstream-limit-invalid, and gauges hold the rate. A value that is no decimal number or stands twice is logged and changes nothing; an answer without a value lifts the limit only once it is complete; a 421 may come from another upstream at the address and states nothing. Nothing is limited by it yet.

--- a/crates/router/src/control/control_telemetry.rs
+++ b/crates/router/src/control/control_telemetry.rs
@@ -25,8 +25,13 @@
         metrics.set_gauge("home_queued", queued as u64);
         metrics.set_gauge("home_running", u64::from(running));
         let upstream = self.parts.home.upstream();
+        let reports = upstream.as_ref().map(|upstream| &upstream.reports);
+        let rate = reports.and_then(|reports| reports.requests_per_second());
         let connections = upstream.map_or(0, |upstream| upstream.client.open_connections());
         metrics.set_gauge("upstream_connections", connections as u64);
+        metrics.set_gauge("upstream_limited", u64::from(rate.is_some()));
+        let millis = (rate.unwrap_or_default() * 1_000.0) as u64;
+        metrics.set_gauge("upstream_limit_millis", millis);
         metrics.set_gauge("log_next", self.parts.agent.fleet().next_offset());
         metrics.set_gauge(
             "units_serving",
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -150,7 +150,7 @@
     }
 
     /// Switches to the accepted upstream if it is a new process. A new process starts cold.
-    pub(crate) fn update_upstream(&mut self, now: Duration, view: &View, shared: &Shared) {
+    pub(crate) fn update_upstream(&mut self, now: Duration, view: &View, shared: &Arc<Shared>) {
         let Some(announcement) = &view.upstream else {
             return;
         };
--- a/crates/router/src/home/local_upstream.rs
+++ b/crates/router/src/home/local_upstream.rs
@@ -8,6 +8,7 @@
 use upstream::ClientSettings;
 use upstream::UpstreamClient;
 
+use crate::home::answer_reports::AnswerReports;
 use crate::shared::Shared;
 
 /// The local upstream, as it announced itself, and the client that connects to it.
@@ -17,13 +18,14 @@
     pub(crate) client: Arc<UpstreamClient>,
     /// Whether the crash of this upstream has been recorded.
     pub(crate) crash_recorded: Arc<Mutex<bool>>,
+    pub(crate) reports: Arc<AnswerReports>,
 }
 
 impl LocalUpstream {
     pub(crate) fn new(
         announcement: Arc<Announcement>,
         declared: Option<&Service>,
-        shared: &Shared,
+        shared: &Arc<Shared>,
     ) -> Self {
         let connections = declared.and_then(|declared| declared.connections);
         let settings = ClientSettings {
@@ -32,11 +34,14 @@
             dialect: Arc::clone(&shared.dialect),
             ..ClientSettings::default()
         };
-        let client = UpstreamClient::new(announcement.address, settings);
+        let reports = Arc::new(AnswerReports::new(announcement.process(), shared));
+        let observer = Arc::clone(&reports);
+        let client = UpstreamClient::with_observer(announcement.address, settings, observer);
         Self {
             announcement,
             client: Arc::new(client),
             crash_recorded: Arc::default(),
+            reports,
         }
     }
 }
--- a/crates/router/src/home/mod.rs
+++ b/crates/router/src/home/mod.rs
@@ -1,5 +1,6 @@
 //! The home, which runs the requests for the units of this process on the local upstream.
 
+mod answer_reports;
 mod crash_report;
 mod execution;
 mod granted_unit;
--- a/crates/skylarkctl/src/explain/process_problems.rs
+++ b/crates/skylarkctl/src/explain/process_problems.rs
@@ -30,6 +30,8 @@
     /// Time at which each dependency was lost, and the problem that was observed.
     lost_dependencies: BTreeMap<(Dependency, String), (u64, String)>,
     stopping_since: Option<u64>,
+    /// Time since which the upstream states the rate of requests that it accepts, and the rate per second.
+    upstream_limit: Option<(u64, f64)>,
 }
 
 impl ProcessProblems {
@@ -71,6 +73,12 @@
         if let Some(at) = vm.stopping_since {
             problems.push(format!("stopping for {} ms", since(at)));
         }
+        if let Some((at, rate)) = vm.upstream_limit {
+            let for_ms = since(at);
+            problems.push(format!(
+                "its upstream accepts {rate} requests/s for {for_ms} ms"
+            ));
+        }
         problems
     }
 }
@@ -97,10 +105,17 @@
             }
             ProcessEvent::Started { .. } => *self = Self::default(),
             ProcessEvent::Stopping => self.stopping_since = Some(at),
+            ProcessEvent::UpstreamLimited {
+                requests_per_second,
+                ..
+            } => self.upstream_limit = Some((at, *requests_per_second)),
+            ProcessEvent::UpstreamUnlimited { .. } => self.upstream_limit = None,
             ProcessEvent::LinesDropped { .. }
             | ProcessEvent::SettingsRead { .. }
             | ProcessEvent::SettingsRefused { .. }
-            | ProcessEvent::Stopped { .. } => {}
+            | ProcessEvent::Stopped { .. }
+            | ProcessEvent::UpstreamLeaving { .. }
+            | ProcessEvent::UpstreamLimitInvalid { .. } => {}
         }
     }
 
--- a/crates/telemetry/src/decision_details.rs
+++ b/crates/telemetry/src/decision_details.rs
@@ -5,7 +5,7 @@
 
 /// Measurements, limits and results behind a decision. Only the fields that matter to its step are set. Times are in
 /// milliseconds.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
 pub struct DecisionDetails {
     /// Number of queued requests that would have been dispatched before this one.
@@ -56,6 +56,9 @@
     /// Time that the upstream took to answer.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub upstream_ms: Option<u64>,
+    /// Number of requests per second that the upstream states it accepts.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub upstream_rate: Option<f64>,
     /// Time that the request waited in the queue of its home.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub waited_ms: Option<u64>,
--- a/crates/telemetry/src/event_line.rs
+++ b/crates/telemetry/src/event_line.rs
@@ -7,7 +7,7 @@
 use crate::ProcessEvent;
 
 /// Log line of a process event.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EventLine {
     /// Wall-clock time, in milliseconds since the Unix epoch.
     pub time_unix_ms: u64,
--- a/crates/telemetry/src/process_event.rs
+++ b/crates/telemetry/src/process_event.rs
@@ -6,7 +6,7 @@
 use crate::Dependency;
 
 /// Event of a process, as its log line states it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "event")]
 pub enum ProcessEvent {
     /// The newest operator declarations are valid, after others that were not.
@@ -61,4 +61,28 @@
     },
     /// A graceful stop has begun.
     Stopping,
+    /// The local upstream states in its answers that it is about to stop.
+    UpstreamLeaving {
+        /// Id of the instance of the upstream.
+        instance: String,
+    },
+    /// The local upstream states that it accepts a limited rate of requests, or another one than before.
+    UpstreamLimited {
+        /// Id of the instance of the upstream.
+        instance: String,
+        /// Number of requests per second that it accepts.
+        requests_per_second: f64,
+    },
+    /// The local upstream states a limit that cannot be read. An earlier limit remains in force.
+    UpstreamLimitInvalid {
+        /// Id of the instance of the upstream.
+        instance: String,
+        /// Values of the header.
+        value: String,
+    },
+    /// The local upstream no longer states a limit on the rate of requests.
+    UpstreamUnlimited {
+        /// Id of the instance of the upstream.
+        instance: String,
+    },
 }
--- a/crates/telemetry/src/request_decision.rs
+++ b/crates/telemetry/src/request_decision.rs
@@ -14,7 +14,7 @@
 use crate::ViewSummary;
 
 /// Decision about a request, as its log line states it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RequestDecision {
     /// Wall-clock time, in milliseconds since the Unix epoch.
     pub time_unix_ms: u64,
--- a/crates/upstream/src/dialect.rs
+++ b/crates/upstream/src/dialect.rs
@@ -24,10 +24,14 @@
     pub has_idempotency_keys: bool,
     /// Header with the key of a request.
     pub key: HeaderName,
+    /// Header by which an upstream states, with the value `1`, that it is about to stop.
+    pub leaving: HeaderName,
     /// Header by which an upstream states that it did not run a request.
     pub not_run: HeaderName,
     /// Headers of answers that are meant for this product, and removed before the caller gets the answer.
     pub private_headers: Vec<HeaderName>,
+    /// Header with the number of requests per second that an upstream accepts, as long as its answers have it.
+    pub rate_limit: HeaderName,
     /// Header with the id of a request, in both directions.
     pub request_id: HeaderName,
     /// Header with the instance of the upstream that a request is meant for, absent if it is not sent.
@@ -49,8 +53,10 @@
             has_fractional_retry_after: false,
             has_idempotency_keys: true,
             key: HeaderName::from_static("skylark-key"),
+            leaving: HeaderName::from_static("skylark-leaving"),
             not_run: HeaderName::from_static("skylark-not-run"),
             private_headers: Vec::new(),
+            rate_limit: HeaderName::from_static("skylark-rate-limit"),
             request_id: HeaderName::from_static("skylark-request-id"),
             target_instance: None,
             unit: Some(HeaderName::from_static("skylark-unit")),
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout_at;
 
 use crate::Answer;
+use crate::AnswerHead;
 use crate::DispatchError;
 use crate::NotRunReason;
 use crate::Request;
@@ -102,6 +103,7 @@
         let retry_copy = self.idempotent.then(|| req.clone());
         match (self.run_once(req, self.max_idle_time).await, retry_copy) {
             (Err(ExchangeError::LostOnIdleConnection(reason)), Some(retry_copy)) => {
+                self.client.repeat_request();
                 let retried = self.run_once(retry_copy, Duration::ZERO).await;
                 retried.map_err(|error| match error.into_dispatch_error() {
                     error if error.is_not_run() => DispatchError::ConnectionLost(reason),
@@ -192,10 +194,12 @@
         res: Response<Incoming>,
     ) -> Result<Answer, DispatchError> {
         self.check_request_id(res.headers())?;
+        let head = self.begin_answer(&res);
         if let Some(not_run) = self.parse_not_run(&res) {
             in_flight.disarm();
             let body = self.read_body(res.into_body());
             if let Ok(Ok(_)) = timeout(REFUSAL_BODY_TIMEOUT, body).await {
+                self.end_answer(head.as_ref());
                 in_flight.release_connection(self.client);
             }
             return Err(DispatchError::NotRun(not_run));
@@ -205,6 +209,7 @@
         let body = timeout_at(self.deadline.into(), self.read_body(body))
             .await
             .map_err(|_| DispatchError::TimedOut)??;
+        self.end_answer(head.as_ref());
         in_flight.release_connection(self.client);
         strip_internal_headers(&mut parts.headers, &self.client.settings().dialect);
         Ok(Answer {
@@ -214,6 +219,18 @@
         })
     }
 
+    /// Reads what an answer states about the upstream, unless it may come from another upstream at the same address.
+    fn begin_answer(&self, res: &Response<Incoming>) -> Option<AnswerHead> {
+        let is_misdirected = res.status() == StatusCode::MISDIRECTED_REQUEST;
+        (!is_misdirected).then(|| self.client.begin_answer(res.headers()))
+    }
+
+    fn end_answer(&self, head: Option<&AnswerHead>) {
+        if let Some(head) = head {
+            self.client.end_answer(head);
+        }
+    }
+
     /// Returns the reason why the upstream did not run the request, if the answer states that it did not.
     fn parse_not_run(&self, res: &Response<Incoming>) -> Option<NotRunReason> {
         let header = res.headers().get(&self.client.settings().dialect.not_run);
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -106,7 +106,7 @@
     let removed: Vec<HeaderName> = internal
         .chain(hop_by_hop_headers(headers))
         .chain(dialect.private_headers.iter().cloned())
-        .chain([dialect.request_id.clone()])
+        .chain([&dialect.leaving, &dialect.rate_limit, &dialect.request_id].map(Clone::clone))
         .collect();
     for name in removed {
         headers.remove(name);
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -3,6 +3,8 @@
 mod announcement;
 mod announcement_error;
 mod answer;
+mod answer_head;
+mod answer_observer;
 mod bounded_stream;
 mod cancel_on_drop;
 mod client_settings;
@@ -27,6 +29,9 @@
 pub use announcement::Announcement;
 pub use announcement_error::AnnouncementError;
 pub use answer::Answer;
+pub use answer_head::AnswerHead;
+pub use answer_head::RateLimitStatement;
+pub use answer_observer::AnswerObserver;
 pub use client_settings::ClientSettings;
 pub use control_error::ControlError;
 pub use dialect::Dialect;
--- a/crates/upstream/src/upstream_client.rs
+++ b/crates/upstream/src/upstream_client.rs
@@ -2,15 +2,20 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use http::HeaderMap;
 use ids::RequestId;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::Answer;
+use crate::AnswerHead;
+use crate::AnswerObserver;
 use crate::ClientSettings;
 use crate::ControlError;
 use crate::DispatchError;
@@ -41,7 +46,10 @@
 #[derive(Debug)]
 struct Shared {
     address: SocketAddr,
+    /// Number of answers that have begun.
+    answers: AtomicU64,
     control: ControlClient,
+    observer: Option<Arc<dyn AnswerObserver>>,
     pool: ConnectionPool,
     settings: ClientSettings,
     connection_permits: Arc<Semaphore>,
@@ -51,13 +59,32 @@
 impl UpstreamClient {
     /// Creates a client of the upstream at `address`.
     pub fn new(address: SocketAddr, settings: ClientSettings) -> Self {
+        Self::build(address, settings, None)
+    }
+
+    /// Creates a client of the upstream at `address` whose answers are observed.
+    pub fn with_observer(
+        address: SocketAddr,
+        settings: ClientSettings,
+        observer: Arc<dyn AnswerObserver>,
+    ) -> Self {
+        Self::build(address, settings, Some(observer))
+    }
+
+    fn build(
+        address: SocketAddr,
+        settings: ClientSettings,
+        observer: Option<Arc<dyn AnswerObserver>>,
+    ) -> Self {
         let max_connections = settings
             .max_connections
             .saturating_sub(RESERVED_CONNECTIONS)
             .max(1);
         let shared = Shared {
             address,
+            answers: AtomicU64::new(0),
             control: ControlClient::new(address, settings.control_timeout),
+            observer,
             pool: ConnectionPool::default(),
             settings,
             connection_permits: Arc::new(Semaphore::new(max_connections)),
@@ -172,6 +199,30 @@
         .await
     }
 
+    /// Reads what the head of an answer states about the upstream, and passes it to the observer.
+    pub(crate) fn begin_answer(&self, headers: &HeaderMap) -> AnswerHead {
+        let number = self.shared.answers.fetch_add(1, Ordering::Relaxed);
+        let head = AnswerHead::new(number, headers, &self.shared.settings.dialect);
+        if let Some(observer) = &self.shared.observer {
+            observer.begin_answer(&head);
+        }
+        head
+    }
+
+    /// Passes the end of an answer to the observer.
+    pub(crate) fn end_answer(&self, head: &AnswerHead) {
+        if let Some(observer) = &self.shared.observer {
+            observer.end_answer(head);
+        }
+    }
+
+    /// Passes the repetition of a request to the observer.
+    pub(crate) fn repeat_request(&self) {
+        if let Some(observer) = &self.shared.observer {
+            observer.repeat_request();
+        }
+    }
+
     pub(crate) fn pool(&self) -> &ConnectionPool {
         &self.shared.pool
     }
--- a/crates/upstream/tests/upstream/main.rs
+++ b/crates/upstream/tests/upstream/main.rs
@@ -4,3 +4,4 @@
 mod dispatch;
 mod endless;
 mod fake_upstream;
+mod statements;
