Keep the rate of requests that an upstream states

Class: a statement of a dependency about its capacity that nobody evaluates.

All requests to an upstream pass the home beside it, so one limiter there bounds the sum over all entries. The home starts requests at the stated rate, refuses on arrival those that cannot start in time, counts idempotent requests that are sent once more on another connection, takes no hedge while one would wait, and sends at most four requests before the first answer, since a process that has just started does not know the limit.

--- a/crates/router/src/home/answer_reports.rs
+++ b/crates/router/src/home/answer_reports.rs
@@ -27,6 +27,8 @@
     /// The last limit that could not be read, until one can be read.
     invalid_limit: Option<String>,
     rate: StatedRate,
+    /// Number of requests that were sent once more since the last call of [`AnswerReports::take_repeated`].
+    repeated: u32,
 }
 
 impl AnswerReports {
@@ -43,6 +45,16 @@
         self.lock().rate.requests_per_second()
     }
 
+    /// Reports whether no answer has stated yet whether the upstream limits the rate of requests.
+    pub(crate) fn is_rate_unknown(&self) -> bool {
+        self.lock().rate.is_unknown()
+    }
+
+    /// Returns the number of requests that were sent once more since the last call.
+    pub(crate) fn take_repeated(&self) -> u32 {
+        std::mem::take(&mut self.lock().repeated)
+    }
+
     fn record_rate(&self, answer: u64, requests_per_second: Option<f64>) {
         let mut state = self.lock();
         state.invalid_limit = None;
@@ -98,5 +110,7 @@
         }
     }
 
-    fn repeat_request(&self) {}
+    fn repeat_request(&self) {
+        self.lock().repeated += 1;
+    }
 }
--- a/crates/router/src/home/home_reports.rs
+++ b/crates/router/src/home/home_reports.rs
@@ -16,9 +16,9 @@
         let current = state.upstream.as_ref();
         let is_new = current.is_none_or(|current| current.announcement.process() != *process);
         if is_new {
-            state.cold.restart(until);
+            state.start_rate.restart(until);
         } else {
-            state.cold.extend_cold_until(until);
+            state.start_rate.extend_cold_until(until);
         }
     }
 
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -209,6 +209,7 @@
     pub(crate) fn enqueue(self: &Arc<Self>, mut queued: QueuedRequest<WaitingRequest>) {
         let now = self.shared.clock.now();
         let mut state = self.lock();
+        state.apply_answer_reports(now);
         let Some(until) = state.wait_until(now, &queued) else {
             drop(state);
             refuse(queued, Reason::Overloaded);
@@ -325,8 +326,7 @@
     /// Expires and starts waiting requests, and applies changes of the view, until the process ends.
     pub(crate) async fn maintain_queue(self: Arc<Self>) {
         loop {
-            let is_empty = self.lock().queue.is_empty();
-            let pause = if is_empty { IDLE_TICK } else { TICK };
+            let (is_empty, pause) = self.maintenance_pause();
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
                 () = self.queued.notified(), if is_empty => continue,
@@ -349,6 +349,20 @@
         }
     }
 
+    /// Reports whether the queue is empty, and returns the time until its next check. A request that waits for the rate limit
+    /// of the upstream starts as soon as the limit allows.
+    fn maintenance_pause(&self) -> (bool, Duration) {
+        let state = self.lock();
+        if state.queue.is_empty() {
+            return (true, IDLE_TICK);
+        }
+        let delay = state.start_rate.delay(self.shared.clock.now(), 0);
+        match delay.is_zero() {
+            true => (false, TICK),
+            false => (false, delay.min(TICK)),
+        }
+    }
+
     /// Waits until no request waits or runs.
     pub(crate) async fn wait_until_idle(&self) {
         while self.count_requests() != (0, 0) {
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -51,11 +51,14 @@
 /// Divisor of the queue's capacity that gives the maximum number of waiting requests of one workspace.
 const WORKSPACE_QUEUE_DIVISOR: usize = 2;
 
+/// Maximum number of requests that run before the first answer, which states whether the upstream limits their rate.
+const MAX_REQUESTS_WITHOUT_ANSWER: u32 = 4;
+
 /// State of the home that its lock protects.
 #[derive(Debug)]
 pub(crate) struct HomeState {
     pub(crate) units: UnitTracker,
-    pub(crate) cold: StartRateLimiter,
+    pub(crate) start_rate: StartRateLimiter,
     /// The request that starts next, blocked for now by requests that run.
     pub(crate) blocked: Option<QueuedRequest<WaitingRequest>>,
     /// Offset of the fleet state that was last applied.
@@ -132,7 +135,7 @@
     pub(crate) fn new(now: Duration, limits: &Limits, policy: &PolicySettings) -> Self {
         Self {
             units: UnitTracker::new(policy.load_memory(), policy.weighs_request_time),
-            cold: StartRateLimiter::default(),
+            start_rate: StartRateLimiter::default(),
             blocked: None,
             fleet_offset: 0,
             stopping: BTreeMap::new(),
@@ -185,7 +188,7 @@
             let service = &upstream.announcement.service;
             let declared = view.fleet.plans().services.get(service);
             let cold_start = declared.and_then(|declared| declared.cold_start);
-            self.cold
+            self.start_rate
                 .set_cold_rate(cold_start.map_or(0, |cold| cold.requests_per_second));
         }
     }
@@ -255,27 +258,59 @@
         }
     }
 
+    /// Applies what answers have stated about the upstream.
+    pub(crate) fn apply_answer_reports(&mut self, now: Duration) {
+        let Some(upstream) = &self.upstream else {
+            return;
+        };
+        let rate = upstream.reports.requests_per_second();
+        if rate != self.start_rate.stated_rate() {
+            self.start_rate.set_stated_rate(now, rate);
+        }
+        for _ in 0..upstream.reports.take_repeated() {
+            self.start_rate.record_sent(now);
+        }
+    }
+
+    /// Returns the number of requests that may run at once.
+    fn concurrency_limit(&self, now: Duration) -> u32 {
+        let limit = self.limiter.limit(now);
+        let upstream = self.upstream.as_ref();
+        match upstream.is_some_and(|upstream| upstream.reports.is_rate_unknown()) {
+            true => limit.min(MAX_REQUESTS_WITHOUT_ANSWER),
+            false => limit,
+        }
+    }
+
+    /// Reports whether another request may start now.
+    pub(crate) fn has_capacity(&self, now: Duration) -> bool {
+        self.limiter.in_flight() < self.concurrency_limit(now) && self.start_rate.allows(now)
+    }
+
     /// Returns the time until which a request may wait in the queue, or `None` if it would start too late.
     pub(crate) fn wait_until(
         &self,
         now: Duration,
         queued: &QueuedRequest<WaitingRequest>,
     ) -> Option<Duration> {
-        let target = queued.item.target_latency;
-        if target.is_zero() {
-            return Some(queued.deadline);
-        }
-        let slots = self.limiter.limit(now);
         let waiting = self.queue.count_ahead(queued.rank) + usize::from(self.blocked.is_some());
-        let is_full = self.limiter.in_flight() >= slots;
-        let ahead = waiting + usize::from(is_full);
-        if queued.item.is_hedge && ahead > 0 {
+        let slots = self.concurrency_limit(now);
+        let ahead = waiting + usize::from(self.limiter.in_flight() >= slots);
+        let delay = self.start_rate.delay(now, waiting);
+        let (target, left) = (queued.item.target_latency, queued.item.target_left);
+        let is_delayed = !delay.is_zero() || (ahead > 0 && !target.is_zero());
+        if queued.item.is_hedge && is_delayed {
             return None;
         }
-        let until =
-            self.service_times
-                .wait_deadline(now, target, queued.item.target_left, ahead, slots)?;
-        Some(until.min(queued.deadline))
+        let until = match target.is_zero() {
+            true => queued.deadline,
+            false => {
+                let times = &self.service_times;
+                let until = times.wait_deadline(now, target, left, ahead, slots)?;
+                until.min(queued.deadline)
+            }
+        };
+        (delay.is_zero() || now + delay < until).then_some(until)
     }
 
     /// Reports whether the upstream is stopping and its drain time is over, so that it gets no more requests.
@@ -296,9 +331,10 @@
     /// Returns the details of a decision that describe the load of the upstream.
     pub(crate) fn upstream_load(&self, now: Duration) -> DecisionDetails {
         DecisionDetails {
-            cold: Some(self.cold.is_cold(now)),
+            cold: Some(self.start_rate.is_cold(now)),
             limit: Some(self.limiter.limit(now)),
             running: Some(self.limiter.in_flight()),
+            upstream_rate: self.start_rate.stated_rate(),
             ..DecisionDetails::default()
         }
     }
--- a/crates/router/src/home/request_starter.rs
+++ b/crates/router/src/home/request_starter.rs
@@ -33,6 +33,7 @@
         let view = home.shared.view();
         let now = home.shared.clock.now();
         state.update_upstream(now, &view, &home.shared);
+        state.apply_answer_reports(now);
         Self {
             home,
             now,
@@ -43,9 +44,7 @@
 
     /// Starts as many requests as the upstream has capacity for.
     pub(crate) fn run(mut self) {
-        while self.state.limiter.in_flight() < self.state.limiter.limit(self.now)
-            && self.state.cold.allows(self.now)
-        {
+        while self.state.has_capacity(self.now) {
             let Some(queued) = self.next() else {
                 return;
             };
@@ -87,7 +86,7 @@
         let fingerprint = &queued.item.fingerprint;
         match self.state.suspects.try_start(self.now, ticket, fingerprint) {
             StartDecision::Started => {
-                self.state.cold.record_sent(self.now);
+                self.state.start_rate.record_sent(self.now);
                 self.grant_permit(ticket, unit, queued);
                 None
             }
