Move units away from upstreams that limit their rate

Callers were refused 503 for the keys of an upstream that accepted a fraction of its load, while other owners had free slots. Cause: the planner shares units by slots, a limited upstream has idle slots and short service times, and what it refuses was no load of anyone. Capacity is now the smaller of slots and rate x mean service time; members exchange it with their loads, and refused requests count as load of their unit.

--- a/crates/bench/src/placement_simulation.rs
+++ b/crates/bench/src/placement_simulation.rs
@@ -172,6 +172,7 @@
     ) -> LoadView {
         let units = self.fleet.units_of(vm);
         LoadView {
+            capacities: BTreeMap::new(),
             max_shards: None,
             tolerance: None,
             budget,
--- a/crates/cluster/src/load_view.rs
+++ b/crates/cluster/src/load_view.rs
@@ -5,11 +5,15 @@
 use ids::Unit;
 use ids::VmId;
 
+use crate::Member;
+
 /// Loads and limits that a member plans moves with. All loads are in one unit, such as requests per second.
 #[derive(Clone, Debug, Default)]
 pub struct LoadView {
     /// Maximum number of units to move at a time.
     pub budget: usize,
+    /// Capacities of members whose upstreams limit the rate of requests, in slots. Other members have all of their slots.
+    pub capacities: BTreeMap<VmId, f64>,
     /// Number of shards at which a member receives no more, or `None` for no limit.
     pub max_shards: Option<usize>,
     /// Known total loads of other members, which may be out of date. Loads are used only if those of all other members
@@ -25,3 +29,12 @@
     /// A shard or bucket without an entry is idle. The load of a pinned key without an entry is not known yet.
     pub unit_loads: BTreeMap<Unit, f64>,
 }
+
+impl LoadView {
+    /// Returns the number of requests that the upstream of a member can run at once.
+    pub(crate) fn capacity_of(&self, member: &Member) -> f64 {
+        let slots = f64::from(member.join.slots);
+        let capacity = self.capacities.get(&member.join.vm);
+        capacity.map_or(slots, |capacity| capacity.min(slots))
+    }
+}
--- a/crates/cluster/src/plan_moves.rs
+++ b/crates/cluster/src/plan_moves.rs
@@ -36,7 +36,7 @@
 
 /// Plans which units the member `me` moves to which other members.
 ///
-/// Only the owner of a unit decides to move it. Shares are proportional to the slots of the
+/// Only the owner of a unit decides to move it. Shares are proportional to the capacities of the
 /// candidates of the service. A member that is drained, in a zone that is out of service, or
 /// stopping moves all its units. The owner of a pinned key whose load alone exceeds a fair share
 /// moves all its other units.
@@ -116,7 +116,8 @@
 
     /// Reports whether the member has far more units than its share.
     fn is_far_over_share(&self) -> bool {
-        let ratio = self.unit_count(self.me) / self.service_totals().fair_unit_count(self.me);
+        let ratio =
+            self.unit_count(self.me) / self.fair_unit_count(&self.service_totals(), self.me);
         ratio > FAR_OVER_SHARE_RATIO
     }
 
@@ -128,7 +129,7 @@
         service_members(self.fleet, &self.me.join.service)
             .filter(|member| self.may_receive(member))
             .filter(|member| {
-                self.unit_count(member) < NEARLY_EMPTY_RATIO * totals.fair_unit_count(member)
+                self.unit_count(member) < NEARLY_EMPTY_RATIO * self.fair_unit_count(&totals, member)
             })
             .map(|member| member.join.vm.clone())
             .collect()
@@ -143,11 +144,15 @@
         let members = || service_members(self.fleet, &self.me.join.service);
         let receivers = members().filter(|member| self.may_receive(member));
         ServiceTotals {
-            slots: receivers.map(|member| member.join.slots).sum(),
+            capacity: receivers.map(|member| self.view.capacity_of(member)).sum(),
             units: members().map(|member| self.unit_count(member)).sum(),
         }
     }
 
+    fn fair_unit_count(&self, totals: &ServiceTotals, member: &Member) -> f64 {
+        totals.fair_unit_count(self.view.capacity_of(member))
+    }
+
     fn may_receive(&self, member: &Member) -> bool {
         let is_leaving = member.join.vm == self.me.join.vm && self.view.stopping;
         self.fleet.is_candidate(member) && !is_leaving
@@ -160,6 +165,7 @@
             .members()
             .values()
             .map(|member| Node {
+                capacity: f64::from(member.join.slots),
                 eligible: self.may_receive(member),
                 load: self.fleet.units.bucket_count_of(&member.join.vm) as f64,
                 member,
@@ -260,6 +266,7 @@
             Some(base) => base * count + peer_load,
         };
         Node {
+            capacity: self.view.capacity_of(member),
             eligible: self.may_receive(member)
                 && !is_isolated
                 && (is_me || has_capacity || self.is_leaving()),
@@ -281,12 +288,9 @@
     }
 
     fn share_fraction(&self, nodes: &[Node<'_>]) -> f64 {
-        let slots: f64 = nodes
-            .iter()
-            .filter(|node| node.eligible)
-            .map(|node| f64::from(node.member.join.slots))
-            .sum();
-        f64::from(self.me.join.slots) / slots.max(1.0)
+        let eligible = nodes.iter().filter(|node| node.eligible);
+        let capacity: f64 = eligible.map(|node| node.capacity).sum();
+        self.view.capacity_of(self.me) / capacity.max(1.0)
     }
 
     /// Makes the member ineligible to receive units, so that it moves all units but its hot keys.
@@ -306,11 +310,9 @@
         }
         let eligible = || nodes.iter().filter(|node| node.eligible);
         let total: f64 = nodes.iter().map(|node| node.load).sum();
-        let slots: f64 = eligible()
-            .map(|node| f64::from(node.member.join.slots))
-            .sum();
+        let capacity: f64 = eligible().map(|node| node.capacity).sum();
         eligible().all(|node| {
-            let share = total * f64::from(node.member.join.slots) / slots;
+            let share = total * node.capacity / capacity;
             let tolerance = self.view.tolerance;
             let low = tolerance.map_or(MIN_LOAD_RATIO, |fraction| 1.0 - fraction);
             let high = tolerance.map_or(MAX_LOAD_RATIO, |fraction| 1.0 + fraction);
--- a/crates/cluster/src/plan_pins.rs
+++ b/crates/cluster/src/plan_pins.rs
@@ -85,16 +85,16 @@
         .is_some_and(|owner| owner.vm == *me)
 }
 
-/// Returns the load of the member if the load of its service were distributed in proportion to slots.
+/// Returns the load of the member if the load of its service were distributed in proportion to capacities.
 ///
 /// Returns `None` if the load of some members is unknown.
 fn fair_share(fleet: &Fleet, me: &Member, view: &LoadView) -> Option<f64> {
     let total = service_load(fleet, me, view)?;
-    let slots: f64 = service_members(fleet, &me.join.service)
+    let capacity: f64 = service_members(fleet, &me.join.service)
         .filter(|member| fleet.is_candidate(member))
-        .map(|member| f64::from(member.join.slots))
+        .map(|member| view.capacity_of(member))
         .sum();
-    Some(total * f64::from(me.join.slots) / slots.max(1.0))
+    Some(total * view.capacity_of(me) / capacity.max(1.0))
 }
 
 /// Returns the total load of a member's service, or `None` if the load of some members is unknown.
--- a/crates/cluster/src/planner.rs
+++ b/crates/cluster/src/planner.rs
@@ -1,4 +1,4 @@
-//! Distribution of units over members in proportion to their slots.
+//! Distribution of units over members in proportion to their capacities.
 
 use std::collections::BTreeMap;
 
@@ -12,6 +12,9 @@
 use crate::node_level::transfers_from;
 use crate::rendezvous_owner;
 
+/// Weight of one slot in the distribution of units.
+const WEIGHT_PER_SLOT: f64 = 1_000.0;
+
 /// Plans the moves of one member from the state of the fleet and the known loads.
 pub(crate) struct Planner<'a> {
     pub(crate) fleet: &'a Fleet,
@@ -23,6 +26,8 @@
 
 /// One member among those that the planner distributes units over, with its load.
 pub(crate) struct Node<'a> {
+    /// Number of requests that the upstream of the member can run at once.
+    pub(crate) capacity: f64,
     pub(crate) eligible: bool,
     pub(crate) load: f64,
     pub(crate) member: &'a Member,
@@ -88,7 +93,7 @@
         NodeLevel {
             eligible: self.eligible,
             level: quanta.round() as u64,
-            weight: self.member.join.slots,
+            weight: (self.capacity * WEIGHT_PER_SLOT).round() as u32,
         }
     }
 }
--- a/crates/cluster/tests/planner.rs
+++ b/crates/cluster/tests/planner.rs
@@ -374,3 +374,42 @@
         "no member is nearly empty, so the budget applies"
     );
 }
+
+#[test]
+fn an_upstream_that_limits_its_rate_keeps_units_in_proportion_to_what_is_left_of_its_capacity() {
+    let mut log = balanced_log(4, 256);
+    let loads: Loads = log
+        .fleet
+        .owners()
+        .keys()
+        .map(|unit| (unit.clone(), 1.0))
+        .collect();
+    let slots = f64::from(log.fleet.members()["vm-000"].join.slots);
+    let mut counts = Vec::new();
+    for capacities in [
+        vec![slots / 9.0, slots],
+        vec![0.0, slots / 2.0],
+        vec![slots, slots],
+    ] {
+        let capacities: BTreeMap<_, _> = (0..).map(vm).zip(capacities).collect();
+        for _ in 0..ROUNDS {
+            let peers = member_loads(&log, &loads);
+            for me in log.fleet.members().keys().cloned().collect::<Vec<_>>() {
+                let view = LoadView {
+                    capacities: capacities.clone(),
+                    ..view(&log, &me, &loads, &peers, 32)
+                };
+                let moves = plan_moves(&log.fleet, &me, &view);
+                let bodies: Vec<_> = moves
+                    .iter()
+                    .map(|(to, units)| move_body(&log, &me, to, units))
+                    .collect();
+                for body in bodies {
+                    log.append_applied(body);
+                }
+            }
+        }
+        counts.push([0, 1, 2, 3].map(|index| log.fleet.unit_count(&vm(index))));
+    }
+    insta::assert_debug_snapshot!(counts);
+}
--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -103,6 +103,7 @@
         match event {
             Event::Announced(announcement) => self.upstream.record_announcement(now, announcement),
             Event::Appended => self.overdue_reads.record_append(self.appends.len()),
+            Event::Capacities { capacities } => self.loads.capacities = capacities,
             Event::CheckedIn(check_in) => self.handle_check_in(now, &check_in, actions),
             Event::ClockSampled { clock_ms, instance } => {
                 self.upstream.record_clock_sample(now, &instance, clock_ms);
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -27,6 +27,12 @@
     Announced(Announcement),
     /// The log accepted records of this process.
     Appended,
+    /// Capacities of the members of the service whose upstreams limit the rate of requests, in slots. Members that are not named
+    /// have all of their slots.
+    Capacities {
+        /// Capacity by member.
+        capacities: BTreeMap<VmId, f64>,
+    },
     /// The local upstream, which polls its grants, checked in.
     CheckedIn(CheckIn),
     /// The local upstream answered a probe of its clock.
--- a/crates/policy/src/service_times.rs
+++ b/crates/policy/src/service_times.rs
@@ -31,6 +31,11 @@
         );
     }
 
+    /// Returns the mean service time of all requests, or `None` before the first.
+    pub fn mean(&self) -> Option<Duration> {
+        self.overall_mean
+    }
+
     /// Discards all times when the upstream is replaced, since those of another one differ.
     pub fn clear(&mut self) {
         *self = Self::default();
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -191,8 +191,12 @@
         let owned = fleet.units_of(&me.join.vm).map(|(unit, _)| unit);
         let keyed = owned.filter(|unit| !matches!(unit, Unit::Bucket { .. }));
         let loads = self.parts.home.update_loads(&keyed.cloned().collect());
-        self.loads
-            .record_own_load(now, me.incarnation, loads.units.values().sum());
+        self.loads.record_own_load(
+            now,
+            me.incarnation,
+            loads.units.values().sum(),
+            loads.capacity,
+        );
         self.loads.expire(now, fleet);
         if self.ticks.is_multiple_of(LOAD_EXCHANGE_TICKS)
             || peer_count(fleet, me) <= BROADCAST_PEERS
@@ -207,7 +211,9 @@
             false => BTreeMap::new(),
         };
         let peers = self.loads.peer_loads(fleet, me);
+        let capacities = self.loads.capacities(fleet, me);
         vec![
+            Event::Capacities { capacities },
             Event::PeerLoads { loads: peers },
             Event::HotKeys { loads: loads.keys },
             Event::UnitLoads { loads: units },
--- a/crates/router/src/control/load_exchange.rs
+++ b/crates/router/src/control/load_exchange.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Copy, Debug)]
 struct KnownLoad {
     busy_slots: f64,
+    /// Number of slots that can be used if the upstream limits the rate of requests.
+    capacity: Option<f64>,
     measured: Duration,
 }
 
@@ -40,10 +42,17 @@
 }
 
 impl LoadExchange {
-    /// Records the load of this process.
-    pub(crate) fn record_own_load(&mut self, now: Duration, me: Incarnation, busy_slots: f64) {
+    /// Records the load of this process, and its capacity if the upstream limits the rate of requests.
+    pub(crate) fn record_own_load(
+        &mut self,
+        now: Duration,
+        me: Incarnation,
+        busy_slots: f64,
+        capacity: Option<f64>,
+    ) {
         let known = KnownLoad {
             busy_slots,
+            capacity,
             measured: now,
         };
         self.known.insert(me, known);
@@ -51,8 +60,11 @@
 
     /// Merges the loads that another member sent. The newer measurement of each load wins.
     pub(crate) fn merge(&mut self, now: Duration, loads: &MemberLoads) {
+        let capacities = loads.capacities.iter().map(|capacity| decode(*capacity));
+        let capacities = capacities.chain(std::iter::repeat(None));
         let values = loads.slots_permille.iter().zip(&loads.ages_ms);
-        for (member, (permille, age_ms)) in loads.members.iter().zip(values) {
+        let values = values.zip(capacities);
+        for (member, ((permille, age_ms), capacity)) in loads.members.iter().zip(values) {
             let age = Duration::from_millis(*age_ms);
             let Some(measured) = now.checked_sub(age) else {
                 continue;
@@ -62,6 +74,7 @@
                 let busy_slots = *permille as f64 / 1_000.0;
                 let known = KnownLoad {
                     busy_slots,
+                    capacity,
                     measured,
                 };
                 self.known.insert(*member, known);
@@ -98,6 +111,10 @@
                 .slots_permille
                 .push((known.busy_slots * 1_000.0) as u64);
             message.ages_ms.push(u64::try_from(age).unwrap_or(u64::MAX));
+            message.capacities.push(encode(known.capacity));
+        }
+        if message.capacities.iter().all(|capacity| *capacity == 0) {
+            message.capacities.clear();
         }
         self.last_sent = message.members.last().copied().unwrap_or_default();
         message
@@ -113,6 +130,17 @@
             .collect()
     }
 
+    /// Returns the capacities of the members of the service of `me` whose upstreams limit the rate of requests, in slots.
+    pub(crate) fn capacities(&self, fleet: &Fleet, me: &Member) -> BTreeMap<VmId, f64> {
+        other_members(fleet, me)
+            .chain([me])
+            .filter_map(|member| {
+                let capacity = self.known.get(&member.incarnation)?.capacity?;
+                Some((member.join.vm.clone(), capacity))
+            })
+            .collect()
+    }
+
     /// Reports whether the service is busy enough to balance by loads, which are noise otherwise.
     pub(crate) fn is_service_busy(&self, fleet: &Fleet, me: &Member) -> bool {
         let members = || other_members(fleet, me).chain([me]);
@@ -125,6 +153,16 @@
     }
 }
 
+/// Encodes a capacity as [`MemberLoads::capacities`] defines it.
+fn encode(capacity: Option<f64>) -> u64 {
+    capacity.map_or(0, |capacity| (capacity * 1_000.0) as u64 + 1)
+}
+
+/// Decodes a capacity that [`encode`] returned.
+fn decode(capacity: u64) -> Option<f64> {
+    Some(capacity.checked_sub(1)? as f64 / 1_000.0)
+}
+
 /// Returns the addresses of the members of the same service to send loads to: all up to [`BROADCAST_PEERS`] members,
 /// otherwise one, selected by the random number `choice`.
 pub(crate) fn recipients(fleet: &Fleet, me: &Member, choice: usize) -> Vec<SocketAddr> {
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -211,6 +211,7 @@
         let mut state = self.lock();
         state.apply_answer_reports(now);
         let Some(until) = state.wait_until(now, &queued) else {
+            state.record_refused(&queued.item);
             drop(state);
             refuse(queued, Reason::Overloaded);
             return;
@@ -280,7 +281,10 @@
     /// Ends a measurement interval, and returns the loads of the units `owned`.
     pub(crate) fn update_loads(&self, owned: &BTreeSet<Unit>) -> Loads {
         let now = self.shared.clock.now();
-        self.lock().units.update_loads(now, owned)
+        let mut state = self.lock();
+        state.apply_answer_reports(now);
+        let capacity = state.limited_capacity();
+        state.units.update_loads(now, owned, capacity)
     }
 
     /// Returns the remembered requests of a unit, for its next owner.
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -282,6 +282,21 @@
         }
     }
 
+    /// Returns the number of slots that can be used at the rate that the upstream states.
+    pub(crate) fn limited_capacity(&self) -> Option<f64> {
+        let rate = self.start_rate.stated_rate()?;
+        Some(rate * self.service_times.mean()?.as_secs_f64())
+    }
+
+    /// Counts a request that is refused because the upstream limits the rate of requests as load of its unit. The units of such
+    /// an upstream would otherwise seem to have no more load than it accepts.
+    pub(crate) fn record_refused(&mut self, waiting: &WaitingRequest) {
+        let busy = self.service_times.mean().unwrap_or_default();
+        if let (Some(_), Some((unit, _))) = (self.start_rate.stated_rate(), &waiting.grant) {
+            self.units.record_refused(unit, busy);
+        }
+    }
+
     /// Reports whether another request may start now.
     pub(crate) fn has_capacity(&self, now: Duration) -> bool {
         self.limiter.in_flight() < self.concurrency_limit(now) && self.start_rate.allows(now)
--- a/crates/router/src/home/unit_tracker.rs
+++ b/crates/router/src/home/unit_tracker.rs
@@ -75,8 +75,18 @@
         }
     }
 
+    /// Records a request that was refused for lack of capacity and would have taken `busy`.
+    pub(crate) fn record_refused(&mut self, unit: &Unit, busy: Duration) {
+        *self.busy_times.entry(unit.clone()).or_default() += busy;
+    }
+
     /// Ends a measurement interval, and returns the loads of the units `owned`.
-    pub(crate) fn update_loads(&mut self, now: Duration, owned: &BTreeSet<Unit>) -> Loads {
+    pub(crate) fn update_loads(
+        &mut self,
+        now: Duration,
+        owned: &BTreeSet<Unit>,
+        capacity: Option<f64>,
+    ) -> Loads {
         let elapsed = now.saturating_sub(self.interval_start);
         self.interval_start = now;
         let busy = std::mem::take(&mut self.busy_times);
@@ -100,7 +110,11 @@
                 )
             })
             .collect();
-        Loads { keys, units }
+        Loads {
+            capacity,
+            keys,
+            units,
+        }
     }
 
     /// Begins to drain units.
--- a/crates/wire/tests/wire/datagrams.rs
+++ b/crates/wire/tests/wire/datagrams.rs
@@ -49,9 +49,21 @@
         members: vec![100_000, 100_001],
         slots_permille: vec![3_500, 0],
         ages_ms: vec![0, 2_000],
+        capacities: Vec::new(),
     })
 }
 
+#[test]
+fn capacities_arrive_with_loads() {
+    let Datagram::MemberLoads(mut loads) = loads() else {
+        unreachable!("loads are loads");
+    };
+    loads.capacities = vec![0, 1_251];
+    let datagram = Datagram::MemberLoads(loads);
+    let encoded = encode_datagram(&secret(1), &datagram);
+    assert_eq!(decode_datagram(&secret(1), &encoded), Ok(datagram));
+}
+
 #[test]
 fn datagrams_arrive_as_they_were_sent() {
     let lengths = [heartbeat(), answer(), loads()].map(|datagram| {
