Take the departure that an upstream states in its answers as one that it reports

Cause: departures were read from check-ins and leaves only. An answer with the header has the same effect now: the same event, the same record, and the same drain time, which counts from the first such answer, a refusal included. It holds for one process of the upstream, and a check-in that was sent before does not revoke it.

Also resets the departure when the product's own upstream is replaced, which was never needed before.

--- a/crates/membership/src/upstream.rs
+++ b/crates/membership/src/upstream.rs
@@ -67,6 +67,7 @@
     fn accept_candidate(&mut self) {
         if self.candidate.is_some() && self.held.is_empty() {
             self.accepted = self.candidate.take();
+            self.draining = false;
             self.clear_confirmed();
             self.health.reset();
             self.resync = true;
--- a/crates/router/src/check_in_service.rs
+++ b/crates/router/src/check_in_service.rs
@@ -97,12 +97,14 @@
         self.shared
             .record_dependency_answer(Dependency::Upstream, "");
         let (draining, warm_up_left) = (check_in.draining, check_in.warm_up_left);
-        let agent_check_in = self.build_check_in(check_in);
+        let mut agent_check_in = self.build_check_in(check_in);
         let process = agent_check_in.announcement.process();
         self.home.record_cold_time(&process, warm_up_left);
         if draining {
-            self.home.record_stopping(process);
+            self.home.record_stopping(process.clone());
         }
+        // A check-in that was sent before the upstream announced its stop elsewhere may arrive later.
+        agent_check_in.draining |= self.home.is_stopping(&process);
         let held: BTreeSet<UnitFence> = agent_check_in.held.iter().cloned().collect();
         let answer = self.control.check_in(agent_check_in);
         let answered = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
--- a/crates/router/src/home/answer_reports.rs
+++ b/crates/router/src/home/answer_reports.rs
@@ -4,7 +4,9 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
+use membership::Event;
 use membership::UpstreamProcess;
 use policy::StatedRate;
 use telemetry::ProcessEvent;
@@ -12,11 +14,13 @@
 use upstream::AnswerObserver;
 use upstream::RateLimitStatement;
 
+use crate::control::ControlSender;
 use crate::shared::Shared;
 
 /// Collects what the answers of one upstream process state about it.
 #[derive(Debug)]
 pub(crate) struct AnswerReports {
+    control: ControlSender,
     process: UpstreamProcess,
     shared: Arc<Shared>,
     state: Mutex<State>,
@@ -26,14 +30,21 @@
 struct State {
     /// The last limit that could not be read, until one can be read.
     invalid_limit: Option<String>,
+    /// Time at which an answer first stated that the upstream is about to stop.
+    leaving_since: Option<Duration>,
     rate: StatedRate,
     /// Number of requests that were sent once more since the last call of [`AnswerReports::take_repeated`].
     repeated: u32,
 }
 
 impl AnswerReports {
-    pub(crate) fn new(process: UpstreamProcess, shared: &Arc<Shared>) -> Self {
+    pub(crate) fn new(
+        process: UpstreamProcess,
+        control: &ControlSender,
+        shared: &Arc<Shared>,
+    ) -> Self {
         Self {
+            control: control.clone(),
             process,
             shared: Arc::clone(shared),
             state: Mutex::default(),
@@ -45,6 +56,11 @@
         self.lock().rate.requests_per_second()
     }
 
+    /// Returns the time at which an answer first stated that the upstream is about to stop.
+    pub(crate) fn leaving_since(&self) -> Option<Duration> {
+        self.lock().leaving_since
+    }
+
     /// Reports whether no answer has stated yet whether the upstream limits the rate of requests.
     pub(crate) fn is_rate_unknown(&self) -> bool {
         self.lock().rate.is_unknown()
@@ -55,6 +71,21 @@
         std::mem::take(&mut self.lock().repeated)
     }
 
+    /// Records that the upstream states that it is about to stop, with the same effect as a check-in that says so.
+    fn record_leaving(&self) {
+        let mut state = self.lock();
+        if state.leaving_since.is_some() {
+            return;
+        }
+        state.leaving_since = Some(self.shared.clock.now());
+        drop(state);
+        let process = self.process.clone();
+        let instance = process.instance.clone();
+        self.shared
+            .log_event(ProcessEvent::UpstreamLeaving { instance });
+        self.control.send_event(Event::UpstreamLeft { process });
+    }
+
     fn record_rate(&self, answer: u64, requests_per_second: Option<f64>) {
         let mut state = self.lock();
         state.invalid_limit = None;
@@ -95,6 +126,9 @@
 
 impl AnswerObserver for AnswerReports {
     fn begin_answer(&self, head: &AnswerHead) {
+        if head.is_leaving {
+            self.record_leaving();
+        }
         match &head.rate_limit {
             RateLimitStatement::Absent => {}
             RateLimitStatement::Invalid(value) => self.record_invalid_limit(value),
--- a/crates/router/src/home/home_reports.rs
+++ b/crates/router/src/home/home_reports.rs
@@ -36,4 +36,12 @@
         let until = self.shared.clock.now() + self.shared.limits.drain();
         self.lock().record_stopping(process, until);
     }
+
+    /// Reports whether a process of the upstream has said that it is about to stop, in a check-in or in an answer.
+    pub(crate) fn is_stopping(&self, process: &UpstreamProcess) -> bool {
+        let now = self.shared.clock.now();
+        let mut state = self.lock();
+        state.apply_answer_reports(now, self.shared.limits.drain());
+        state.is_stopping(process)
+    }
 }
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -176,7 +176,7 @@
             ))
         };
         let mut state = self.lock();
-        state.update_upstream(now, &view, &self.shared);
+        state.update_upstream(now, &view, self);
         if let Some(unit) = &request.unit {
             match view.serving.get(unit) {
                 Some(fence) if *fence == dispatch.fence => {
@@ -209,7 +209,7 @@
     pub(crate) fn enqueue(self: &Arc<Self>, mut queued: QueuedRequest<WaitingRequest>) {
         let now = self.shared.clock.now();
         let mut state = self.lock();
-        state.apply_answer_reports(now);
+        state.apply_answer_reports(now, self.shared.limits.drain());
         let Some(until) = state.wait_until(now, &queued) else {
             state.record_refused(&queued.item);
             drop(state);
@@ -282,7 +282,7 @@
     pub(crate) fn update_loads(&self, owned: &BTreeSet<Unit>) -> Loads {
         let now = self.shared.clock.now();
         let mut state = self.lock();
-        state.apply_answer_reports(now);
+        state.apply_answer_reports(now, self.shared.limits.drain());
         let capacity = state.limited_capacity();
         state.units.update_loads(now, owned, capacity)
     }
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -36,6 +36,7 @@
 use crate::handover::HandoverContents;
 use crate::handover::IncomingHandovers;
 use crate::handover::StoredAnswer;
+use crate::home::Home;
 use crate::home::granted_unit::GrantedUnit;
 use crate::home::local_upstream::LocalUpstream;
 use crate::home::unit_tracker::UnitTracker;
@@ -45,7 +46,6 @@
 use crate::settings::Limits;
 use crate::settings::PolicySettings;
 use crate::settings::QueueKind;
-use crate::shared::Shared;
 use crate::view::View;
 
 /// Divisor of the queue's capacity that gives the maximum number of waiting requests of one workspace.
@@ -153,7 +153,7 @@
     }
 
     /// Switches to the accepted upstream if it is a new process. A new process starts cold.
-    pub(crate) fn update_upstream(&mut self, now: Duration, view: &View, shared: &Arc<Shared>) {
+    pub(crate) fn update_upstream(&mut self, now: Duration, view: &View, home: &Home) {
         let Some(announcement) = &view.upstream else {
             return;
         };
@@ -166,7 +166,12 @@
         self.limiter.restart(now, announcement.slots);
         self.service_times.clear();
         let declared = view.fleet.plans().services.get(&announcement.service);
-        let upstream = LocalUpstream::new(Arc::clone(announcement), declared, shared);
+        let upstream = LocalUpstream::new(
+            Arc::clone(announcement),
+            declared,
+            &home.control,
+            &home.shared,
+        );
         self.upstream = Some(upstream);
         self.update_cold_rate(view);
     }
@@ -259,10 +264,14 @@
     }
 
     /// Applies what answers have stated about the upstream.
-    pub(crate) fn apply_answer_reports(&mut self, now: Duration) {
+    pub(crate) fn apply_answer_reports(&mut self, now: Duration, drain_time: Duration) {
         let Some(upstream) = &self.upstream else {
             return;
         };
+        if let Some(since) = upstream.reports.leaving_since() {
+            let process = upstream.announcement.process();
+            self.stopping.entry(process).or_insert(since + drain_time);
+        }
         let rate = upstream.reports.requests_per_second();
         if rate != self.start_rate.stated_rate() {
             self.start_rate.set_stated_rate(now, rate);
@@ -328,6 +337,11 @@
         (delay.is_zero() || now + delay < until).then_some(until)
     }
 
+    /// Reports whether a process of the upstream is about to stop.
+    pub(crate) fn is_stopping(&self, process: &UpstreamProcess) -> bool {
+        self.stopping.contains_key(process)
+    }
+
     /// Reports whether the upstream is stopping and its drain time is over, so that it gets no more requests.
     pub(crate) fn is_drain_time_over(&self, now: Duration) -> bool {
         let Some(upstream) = &self.upstream else {
--- a/crates/router/src/home/local_upstream.rs
+++ b/crates/router/src/home/local_upstream.rs
@@ -8,6 +8,7 @@
 use upstream::ClientSettings;
 use upstream::UpstreamClient;
 
+use crate::control::ControlSender;
 use crate::home::answer_reports::AnswerReports;
 use crate::shared::Shared;
 
@@ -25,6 +26,7 @@
     pub(crate) fn new(
         announcement: Arc<Announcement>,
         declared: Option<&Service>,
+        control: &ControlSender,
         shared: &Arc<Shared>,
     ) -> Self {
         let connections = declared.and_then(|declared| declared.connections);
@@ -34,7 +36,7 @@
             dialect: Arc::clone(&shared.dialect),
             ..ClientSettings::default()
         };
-        let reports = Arc::new(AnswerReports::new(announcement.process(), shared));
+        let reports = Arc::new(AnswerReports::new(announcement.process(), control, shared));
         let observer = Arc::clone(&reports);
         let client = UpstreamClient::with_observer(announcement.address, settings, observer);
         Self {
--- a/crates/router/src/home/request_starter.rs
+++ b/crates/router/src/home/request_starter.rs
@@ -32,8 +32,8 @@
     pub(crate) fn new(home: &'a Arc<Home>, state: &'a mut HomeState) -> Self {
         let view = home.shared.view();
         let now = home.shared.clock.now();
-        state.update_upstream(now, &view, &home.shared);
-        state.apply_answer_reports(now);
+        state.update_upstream(now, &view, home);
+        state.apply_answer_reports(now, home.shared.limits.drain());
         Self {
             home,
             now,
