Never reuse a connection for a request that was refused on it

A caller was told that its request had not run while the upstream ran it, and a second upstream could run it too. Cause: a refusal was matched to its request by the id alone, and a retry of the same request, such as one that a home refused for a lapsed lease or that came back to the only home, went over the same connection. An upstream that writes the earlier refusal once more answers the retry with it. Refusals of other requests never passed, since their ids differ. A connection now remembers which requests were refused on it, is not used for these again, and closes after 64 refusals.

The test fails before (NotRun) and passes now.

--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -1,5 +1,6 @@
 //! An HTTP/1 connection to an upstream.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -12,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use ids::RequestId;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -28,6 +30,9 @@
 /// Maximum number of bytes that one byte of an answer's body may take. A chunk with a single byte takes 6.
 const MAX_FRAMING_FACTOR: usize = 8;
 
+/// Number of refusals after which a connection is closed, since the ids of the refused requests are kept.
+const MAX_REFUSALS: usize = 64;
+
 /// Connection that closes on drop, also while a request is in flight.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -37,6 +42,8 @@
     /// Maximum number of bytes of an answer's body and trailers with their framing.
     max_body_bytes: usize,
     read_allowance: ReadAllowance,
+    /// Requests that were refused on this connection.
+    refused: BTreeSet<RequestId>,
     sender: SendRequest<Full<Bytes>>,
     driver_task: AbortHandle,
 }
@@ -68,6 +75,7 @@
             has_answered: false,
             max_body_bytes: max_answer_bytes * MAX_FRAMING_FACTOR + MAX_HEADER_BYTES,
             read_allowance,
+            refused: BTreeSet::new(),
             sender,
             driver_task: driver_task.abort_handle(),
         })
@@ -78,6 +86,18 @@
         self.sender.is_closed()
     }
 
+    /// Records that a request was refused, and reports whether the connection may be used for others.
+    pub(crate) fn record_refusal(&mut self, request_id: &RequestId) -> bool {
+        self.refused.insert(request_id.clone());
+        self.refused.len() < MAX_REFUSALS
+    }
+
+    /// Reports whether a request was refused on this connection. Its refusal may arrive once more in place of a later answer,
+    /// and only the id of the request tells answers apart.
+    pub(crate) fn has_refused(&self, request_id: &RequestId) -> bool {
+        self.refused.contains(request_id)
+    }
+
     /// Waits until the connection can take the next request.
     ///
     /// # Errors
--- a/crates/upstream/src/connection_pool.rs
+++ b/crates/upstream/src/connection_pool.rs
@@ -5,6 +5,8 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+
+use ids::RequestId;
 use std::time::Instant;
 
 use crate::connection::Connection;
@@ -16,11 +18,20 @@
 }
 
 impl ConnectionPool {
-    /// Takes the most recently used connection, unless its last answer is older than `max_idle_time`.
-    pub(crate) fn take(&self, max_idle_time: Duration) -> Option<Connection> {
+    /// Takes the most recently used connection on which the request was not refused, unless its last answer is older than
+    /// `max_idle_time`.
+    pub(crate) fn take(
+        &self,
+        max_idle_time: Duration,
+        request_id: &RequestId,
+    ) -> Option<Connection> {
         let mut idle = self.lock_idle();
         idle.retain(|conn| !conn.is_closed());
-        idle.pop_back_if(|conn| conn.last_answer.elapsed() <= max_idle_time)
+        let is_usable = |conn: &Connection| {
+            conn.last_answer.elapsed() <= max_idle_time && !conn.has_refused(request_id)
+        };
+        let index = idle.iter().rposition(is_usable)?;
+        idle.remove(index)
     }
 
     /// Adds a connection that has just received an answer.
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -121,7 +121,9 @@
     ) -> Result<Answer, ExchangeError> {
         loop {
             self.time_until_deadline()?;
-            let connecting = self.client.acquire_connection(max_idle_time);
+            let connecting = self
+                .client
+                .acquire_connection(max_idle_time, &self.request_id);
             let conn = timeout_at(self.deadline.into(), connecting)
                 .await
                 .map_err(|_| DispatchError::NotSent("no connection in time".to_owned()))??;
@@ -200,7 +202,9 @@
             let body = self.read_body(res.into_body());
             if let Ok(Ok(_)) = timeout(REFUSAL_BODY_TIMEOUT, body).await {
                 self.end_answer(head.as_ref());
-                in_flight.release_connection(self.client);
+                if in_flight.conn.record_refusal(&self.request_id) {
+                    in_flight.release_connection(self.client);
+                }
             }
             return Err(DispatchError::NotRun(not_run));
         }
--- a/crates/upstream/src/upstream_client.rs
+++ b/crates/upstream/src/upstream_client.rs
@@ -163,12 +163,14 @@
         Ok(cancelled.cancelled)
     }
 
-    /// Returns a pooled connection whose last answer is at most `max_idle_time` old, or a new one.
+    /// Returns a pooled connection whose last answer is at most `max_idle_time` old and on which the request was not refused,
+    /// or a new one.
     pub(crate) async fn acquire_connection(
         &self,
         max_idle_time: Duration,
+        request_id: &RequestId,
     ) -> Result<Connection, DispatchError> {
-        while let Some(mut conn) = self.shared.pool.take(max_idle_time) {
+        while let Some(mut conn) = self.shared.pool.take(max_idle_time, request_id) {
             if let Ok(Ok(())) = timeout(READY_TIMEOUT, conn.ready()).await {
                 return Ok(conn);
             }
--- a/crates/upstream/tests/upstream/main.rs
+++ b/crates/upstream/tests/upstream/main.rs
@@ -4,4 +4,5 @@
 mod dispatch;
 mod endless;
 mod fake_upstream;
+mod replayed;
 mod statements;
