Test that an answer whose connection ends at any byte is not passed on

Other operators report answers that ended in the middle of their head and reached callers as whole and empty. It cannot happen here: the tests end the connection after each byte of answers with a length, in chunks, with bare line feeds and after an interim answer, and each such request ends as one that may have run.

--- a/crates/upstream/tests/upstream/main.rs
+++ b/crates/upstream/tests/upstream/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the client against a fake upstream.
 
 mod control;
+mod cut_heads;
 mod dispatch;
 mod endless;
 mod fake_upstream;
