End a graceful stop within the time after which the process is killed

A process that was stopped while the store was away took requests until it was killed: 1.5 s before the end of the grace a request that is not idempotent was passed on, and cut without an answer. Cause: the stop had limits of its own, 20 and 30 s, and did not know the grace of 6 s.

Setting limits.stop_timeout takes the platform's grace. A home that stops starts a request only early in the stop, or if its caller will not wait beyond the end; the decision is policy::GracefulStop. Membership uses eleven twelfths of that time.

--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -30,7 +30,6 @@
 use crate::WatchedMembers;
 use crate::Witnesses;
 use crate::times::REJOIN_BACKOFF;
-use crate::times::STOP_DEADLINE;
 use crate::times::UNINFORMED_AFTER;
 
 /// State machine for the membership and unit ownership of one process. It handles events and
@@ -133,7 +132,8 @@
             Event::Stop => {
                 self.schedule.next_move_plan = now;
                 self.schedule.has_nothing_to_move = false;
-                self.stop_deadline.get_or_insert(now + STOP_DEADLINE);
+                self.stop_deadline
+                    .get_or_insert(now + self.cfg.stop_timeout);
             }
             Event::Tick => self.tick(now, actions),
             Event::UnitLoads { loads } => self.loads.unit_loads = loads,
--- a/crates/membership/src/agent_lifecycle.rs
+++ b/crates/membership/src/agent_lifecycle.rs
@@ -13,7 +13,6 @@
 use crate::LeaveReason;
 use crate::MemberState;
 use crate::times::LEASE_LOST_AFTER;
-use crate::times::STOP_DEADLINE;
 
 impl Agent {
     /// Performs the due steps of the member's life cycle.
@@ -132,12 +131,13 @@
     }
 
     /// Reports whether a stop was requested and no more units can be handed over: none is left to
-    /// move, or half of the time for the stop has passed.
+    /// move, or half of the time for the stop has passed. While the log is unhealthy nobody could take the
+    /// units over, so they are served on.
     fn is_done_moving(&self, now: Duration) -> bool {
         let Some(deadline) = self.stop_deadline else {
             return false;
         };
-        let is_late = now + STOP_DEADLINE / 2 >= deadline;
+        let is_late = now + self.cfg.stop_timeout / 2 >= deadline && self.log.is_healthy(now);
         let is_done = self.schedule.has_nothing_to_move && !self.owned_units.is_handing_over();
         is_late || is_done
     }
--- a/crates/membership/src/agent_settings.rs
+++ b/crates/membership/src/agent_settings.rs
@@ -32,6 +32,9 @@
     pub retention: Option<Duration>,
     /// Seed of record ids, different at every start of the process.
     pub seed: u64,
+    /// Time limit of a graceful stop. In its second half, units that could not be moved are left to the other members.
+    #[serde(default = "default_stop_timeout")]
+    pub stop_timeout: Duration,
     /// Name of the VM.
     pub vm: VmId,
     /// Availability zone of the VM.
@@ -42,6 +45,10 @@
     Duration::from_millis(1_500)
 }
 
+fn default_stop_timeout() -> Duration {
+    Duration::from_secs(20)
+}
+
 fn default_lease() -> Duration {
     LEASE
 }
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -100,9 +100,6 @@
 /// Minimum length of a membership that resets the backoff of the next join.
 pub(crate) const STABLE_MEMBERSHIP: Duration = Duration::from_secs(60);
 
-/// Time limit of a graceful stop.
-pub(crate) const STOP_DEADLINE: Duration = Duration::from_secs(20);
-
 /// Time after a join in which a member with witnesses requests no better ones, since other members may be about to
 /// join.
 pub(crate) const REWITNESS_DELAY: Duration = Duration::from_millis(1_500);
--- a/crates/membership/tests/polled.rs
+++ b/crates/membership/tests/polled.rs
@@ -43,6 +43,7 @@
             region: "r".to_owned(),
             retention: None,
             seed: 7,
+            stop_timeout: Duration::from_secs(20),
             vm: "vm-1".to_owned(),
             zone: "z".to_owned(),
         });
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -19,6 +19,7 @@
         region: "r".to_owned(),
         retention: None,
         seed: 7,
+        stop_timeout: std::time::Duration::from_secs(20),
         vm: "vm-1".to_owned(),
         zone: "z".to_owned(),
     })
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -152,10 +152,14 @@
         let mut body = ByteReservation::new(Arc::clone(&self.body_bytes));
         let max_bytes = usize::try_from(self.shared.limits.home_body_bytes);
         let is_within = body.add_and_check(dispatch.body.len(), max_bytes.unwrap_or(usize::MAX));
+        let may_start = self.may_start(&dispatch);
         let mut execution = Execution::new(Arc::clone(self), dispatch, body);
         if !is_within {
             return execution.refuse(Reason::Overloaded);
         }
+        if !may_start {
+            return execution.refuse(Reason::Stopping);
+        }
         if !outlives_caller {
             return execution.run().await;
         }
@@ -165,6 +169,14 @@
         }
     }
 
+    /// Reports whether a request may start in view of a graceful stop. One without a key can go to another home at once.
+    fn may_start(&self, dispatch: &Dispatch) -> bool {
+        let now = self.shared.clock.now();
+        let deadline = now + Duration::from_millis(dispatch.deadline_ms);
+        let has_key = dispatch.key.is_some();
+        self.shared.may_start(now, deadline) && (has_key || !self.shared.is_stopping())
+    }
+
     fn begin(&self, dispatch: &Dispatch) -> BeginResult {
         let view = self.shared.view();
         let now = self.shared.clock.now();
@@ -184,8 +196,6 @@
                 }
                 _ => return BeginResult::Ended(self.not_owner(&view)),
             }
-        } else if self.shared.is_stopping() {
-            return not_run(Reason::Stopping);
         }
         match state.memory.begin(now, unix_ms(), request) {
             BeginDecision::AlreadyRunning { first } => {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod control;
 mod control_traffic;
+pub mod duration_text;
 mod entry;
 mod environment;
 mod handover;
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -90,6 +90,7 @@
             region: settings.region.clone(),
             retention: settings.log.retention(),
             seed,
+            stop_timeout: settings.limits.move_timeout(),
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
         });
--- a/crates/router/src/settings/limits.rs
+++ b/crates/router/src/settings/limits.rs
@@ -4,6 +4,8 @@
 
 use serde::Deserialize;
 
+use crate::clock::milliseconds;
+use crate::duration_text;
 use crate::settings::SettingsError;
 use crate::settings::range::check_range;
 
@@ -38,6 +40,9 @@
     pub queue_requests: u64,
     /// Time that a caller has to send a whole request, in milliseconds.
     pub request_timeout_ms: u64,
+    /// Maximum duration of a graceful stop as text with its unit, such as `6s`, in place of `stop_timeout_ms`.
+    #[serde(deserialize_with = "duration_text::deserialize_option")]
+    pub stop_timeout: Option<Duration>,
     /// Maximum duration of a graceful stop, in milliseconds.
     pub stop_timeout_ms: u64,
     /// Number of threads that handle traffic.
@@ -64,6 +69,7 @@
             queue_percent: 100,
             queue_requests: 1000,
             request_timeout_ms: 15_000,
+            stop_timeout: None,
             stop_timeout_ms: 30_000,
             traffic_threads: 2,
             upload_bytes: 2 << 20,
@@ -113,6 +119,12 @@
                 10,
                 300_000,
             ),
+            (
+                "limits.stop_timeout",
+                milliseconds(self.stop_timeout()),
+                100,
+                600_000,
+            ),
             ("limits.stop_timeout_ms", self.stop_timeout_ms, 100, 600_000),
             ("limits.traffic_threads", self.traffic_threads, 1, 64),
             (
@@ -159,8 +171,14 @@
         Duration::from_millis(self.warm_up_ms)
     }
 
+    /// Returns the part of a graceful stop in which units may be moved. The rest is left for the last answers.
+    pub(crate) fn move_timeout(&self) -> Duration {
+        self.stop_timeout() * 11 / 12
+    }
+
     /// Returns the maximum duration of a graceful stop.
     pub fn stop_timeout(&self) -> Duration {
-        Duration::from_millis(self.stop_timeout_ms)
+        let in_ms = Duration::from_millis(self.stop_timeout_ms);
+        self.stop_timeout.unwrap_or(in_ms)
     }
 }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use ids::VmId;
 use ids::ZoneId;
 use membership::Agent;
+use policy::GracefulStop;
 use policy::TokenTiming;
 use telemetry::DecisionDetails;
 use telemetry::DecisionLog;
@@ -62,7 +63,8 @@
     pub(crate) records: RecordStore,
     pub(crate) vm: VmId,
     pub(crate) zone: ZoneId,
-    stopping: AtomicBool,
+    /// The graceful stop, once it has begun.
+    stop: OnceLock<GracefulStop>,
     view: ArcSwap<View>,
 }
 
@@ -102,7 +104,7 @@
             policy: settings.policy.clone(),
             rate_tolerance: settings.rate_tolerance.clone(),
             records: RecordStore::default(),
-            stopping: AtomicBool::new(false),
+            stop: OnceLock::new(),
             view: ArcSwap::from_pointee(view),
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
@@ -129,12 +131,22 @@
 
     /// Reports whether a graceful stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::SeqCst)
+        self.stop.get().is_some()
     }
 
     /// Begins a graceful stop.
     pub(crate) fn stop(&self) {
-        self.stopping.store(true, Ordering::SeqCst);
+        let stop = GracefulStop {
+            started: self.clock.now(),
+            timeout: self.limits.stop_timeout(),
+        };
+        self.stop.get_or_init(|| stop);
+    }
+
+    /// Reports whether a request whose caller waits until `deadline` may start in view of a graceful stop.
+    pub(crate) fn may_start(&self, now: Duration, deadline: Duration) -> bool {
+        let stop = self.stop.get();
+        stop.is_none_or(|stop| stop.admits(now, deadline))
     }
 
     /// Returns a decision of this process about a request, without its details.
