Choose homes that can start a request before those at the limit of their upstream

For a service without keys, entries sent up to three attempts to homes that refused them on arrival, although another home had free slots. Cause: an entry knows slots, latencies and its own requests in flight of a home, and an upstream that limits its rate looks idle. A home that refuses for the rate now states for how long it cannot start another request; the entry chooses it in that time only if there is no other, and callers are asked to come back no earlier.

--- a/crates/policy/src/balanced_chooser.rs
+++ b/crates/policy/src/balanced_chooser.rs
@@ -51,10 +51,13 @@
 /// The first of the two is in the entry's zone if possible. Load reports add to a score with a weight
 /// that decreases with their age. Upstreams much slower than the median are ejected, at most half of
 /// them. An ejected upstream is probed with one request at a time, and after successful probes its
-/// share of requests increases slowly.
+/// share of requests increases slowly. Upstreams whose homes cannot start a request now are chosen only if
+/// there is no other.
 #[derive(Clone, Debug)]
 pub struct BalancedChooser {
     all: Vec<VmId>,
+    /// Upstreams that limit the rate of requests, with the time until which their homes cannot start another one.
+    busy: BTreeMap<VmId, Duration>,
     zone_distance: Duration,
     ejected: BTreeSet<VmId>,
     median: Option<Duration>,
@@ -71,6 +74,7 @@
     pub fn new(zone: ZoneId, seed: u64) -> Self {
         Self {
             all: Vec::new(),
+            busy: BTreeMap::new(),
             zone_distance: DEFAULT_ZONE_DISTANCE,
             ejected: BTreeSet::new(),
             median: None,
@@ -162,6 +166,22 @@
         best.map(|(_, vm)| vm.clone())
     }
 
+    /// Draws two upstreams that are not busy, or any two if all are.
+    fn draw_candidates(
+        &mut self,
+        now: Duration,
+        excluded: &BTreeSet<VmId>,
+    ) -> Option<(VmId, Option<VmId>)> {
+        self.busy.retain(|_, until| *until > now);
+        if self.busy.is_empty() {
+            return self.draw_two(now, excluded);
+        }
+        let mut avoided = excluded.clone();
+        avoided.extend(self.busy.keys().cloned());
+        self.draw_two(now, &avoided)
+            .or_else(|| self.draw_two(now, excluded))
+    }
+
     /// Draws two upstreams, the first in the entry's zone if possible.
     fn draw_two(
         &mut self,
@@ -203,7 +223,7 @@
             let reason = ChoiceReason::Probe;
             return Some(Choice { reason, vm });
         }
-        let (first, second) = self.draw_two(now, excluded)?;
+        let (first, second) = self.draw_candidates(now, excluded)?;
         let Some(second) = second else {
             let reason = ChoiceReason::Only;
             return Some(Choice { reason, vm: first });
@@ -245,6 +265,10 @@
         }
     }
 
+    fn record_busy(&mut self, vm: &VmId, until: Duration) {
+        self.busy.insert(vm.clone(), until);
+    }
+
     fn record_load(&mut self, now: Duration, vm: &VmId, load: f64) {
         if let Some(view) = self.upstreams.get_mut(vm) {
             view.record_load(now, load);
@@ -272,6 +296,7 @@
         let same_zone = candidates.iter().filter(is_same_zone);
         self.same_zone = same_zone.map(|candidate| candidate.vm.clone()).collect();
         self.ejected.retain(|vm| self.upstreams.contains_key(vm));
+        self.busy.retain(|vm, _| self.upstreams.contains_key(vm));
     }
 
     fn record_start(&mut self, now: Duration, vm: &VmId, ticket: Ticket) {
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -16,6 +16,9 @@
     /// Chooses an upstream that is not in `excluded`, or returns `None` if none can be used.
     fn choose(&mut self, now: Duration, excluded: &BTreeSet<VmId>) -> Option<Choice>;
 
+    /// Records that the home of an upstream cannot start another request until a time, because the upstream limits their rate.
+    fn record_busy(&mut self, _vm: &VmId, _until: Duration) {}
+
     /// Records how a request ended.
     fn record_completion(
         &mut self,
--- a/crates/policy/tests/chooser.rs
+++ b/crates/policy/tests/chooser.rs
@@ -309,3 +309,23 @@
     }
     insta::assert_debug_snapshot!(delays);
 }
+
+#[test]
+fn upstreams_that_cannot_start_a_request_are_chosen_only_if_there_is_no_other() {
+    let mut chooser = BalancedChooser::new("a".to_owned(), 1);
+    chooser.set_candidates(Duration::ZERO, &candidates(&["a", "b", "c"]));
+    let choose = |chooser: &mut BalancedChooser, ms, excluded: &[&str]| {
+        let excluded = excluded.iter().map(|vm| (*vm).to_owned()).collect();
+        let choice = chooser.choose(Duration::from_millis(ms), &excluded);
+        choice.unwrap().vm
+    };
+    for vm in ["vm-0", "vm-1"] {
+        chooser.record_busy(&vm.to_owned(), Duration::from_millis(100));
+    }
+    for ms in 0..100 {
+        assert_eq!(choose(&mut chooser, ms, &[]), "vm-2");
+        assert_eq!(choose(&mut chooser, ms, &["vm-0", "vm-2"]), "vm-1");
+    }
+    assert_eq!(choose(&mut chooser, 100, &["vm-1", "vm-2"]), "vm-0");
+    assert_eq!(choose(&mut chooser, 100, &[]), "vm-0", "the own zone again");
+}
--- a/crates/router/src/entry/keyed_router.rs
+++ b/crates/router/src/entry/keyed_router.rs
@@ -51,7 +51,7 @@
                         admitted = returned;
                         if !is_transient(&statement) {
                             let delay = retry_after(clock.now(), deadline);
-                            let delay = statement.retry_after().unwrap_or(delay);
+                            let delay = delay.max(statement.retry_after().unwrap_or_default());
                             return Err(admitted.refuse(statement.reason(), Some(delay)));
                         }
                         statement.reason()
--- a/crates/router/src/entry/keyless_request.rs
+++ b/crates/router/src/entry/keyless_request.rs
@@ -49,6 +49,8 @@
 
 /// A copy of a request in flight to a home. A copy that is dropped before its reply counts as cancelled.
 struct InFlight<'a> {
+    /// Time until which the home cannot start another request, if it has said so.
+    busy_until: Option<Duration>,
     completion: Completion,
     router: &'a KeylessRouter,
     service: String,
@@ -91,7 +93,7 @@
                 RetryDecision::After(delay) => tokio::time::sleep(delay).await,
                 RetryDecision::GiveUp => {
                     let delay = self.retry_after(admitted.head().deadline);
-                    let delay = statement.retry_after().unwrap_or(delay);
+                    let delay = delay.max(statement.retry_after().unwrap_or_default());
                     return Err(admitted.refuse(statement.reason(), Some(delay)));
                 }
             }
@@ -245,6 +247,7 @@
             service.record_start(now, &target.vm)
         });
         let mut in_flight = InFlight {
+            busy_until: None,
             completion: Completion::Cancelled,
             router: self.router,
             service: self.dispatch.service.clone(),
@@ -266,12 +269,16 @@
 impl InFlight<'_> {
     fn complete(&mut self, reply: &Reply) {
         let now = self.router.home_client.shared.clock.now();
-        self.completion = match reply {
-            Reply::Answer(_) => Completion::Answered {
-                latency: now.saturating_sub(self.started),
-            },
-            Reply::Statement(statement) => completion_of(statement.reason()),
-        };
+        match reply {
+            Reply::Answer(_) => {
+                let latency = now.saturating_sub(self.started);
+                self.completion = Completion::Answered { latency };
+            }
+            Reply::Statement(statement) => {
+                self.busy_until = busy_time(statement).map(|busy| now + busy);
+                self.completion = completion_of(statement.reason());
+            }
+        }
     }
 }
 
@@ -280,11 +287,20 @@
         let now = self.router.home_client.shared.clock.now();
         self.router.with_service(&self.service, |service| {
             let target_latency = self.target_latency;
+            if let Some(until) = self.busy_until {
+                service.record_busy(&self.vm, until);
+            }
             service.record_completion(now, &self.vm, self.ticket, target_latency, self.completion);
         });
     }
 }
 
+/// Returns how long a home cannot start another request, if it has refused one for the rate limit of its upstream.
+fn busy_time(statement: &Statement) -> Option<Duration> {
+    let is_overloaded = statement.reason() == Reason::Overloaded;
+    statement.retry_after().filter(|_| is_overloaded)
+}
+
 /// Returns how a refusal counts in the statistics of the upstream.
 fn completion_of(reason: Reason) -> Completion {
     match reason {
--- a/crates/router/src/entry/keyless_service.rs
+++ b/crates/router/src/entry/keyless_service.rs
@@ -92,6 +92,11 @@
         ticket
     }
 
+    /// Records that a home cannot start another request until a time.
+    pub(crate) fn record_busy(&mut self, vm: &VmId, until: Duration) {
+        self.chooser.record_busy(vm, until);
+    }
+
     /// Records how a request ended. The latency of an answer also informs the hedging policy for the target latency of
     /// its route.
     pub(crate) fn record_completion(
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -49,6 +49,7 @@
 use crate::home::request_starter::RequestStarter;
 use crate::home::request_starter::refuse;
 use crate::home::request_starter::refuse_expired;
+use crate::home::request_starter::refuse_until;
 use crate::home::waiting_request::WaitingRequest;
 use crate::shared::Shared;
 use crate::view::View;
@@ -222,8 +223,9 @@
         state.apply_answer_reports(now, self.shared.limits.drain());
         let Some(until) = state.wait_until(now, &queued) else {
             state.record_refused(&queued.item);
+            let busy = state.rate_limit_delay(now, &queued);
             drop(state);
-            refuse(queued, Reason::Overloaded);
+            refuse_until(queued, Reason::Overloaded, busy);
             return;
         };
         queued.deadline = until;
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -311,13 +311,29 @@
         self.limiter.in_flight() < self.concurrency_limit(now) && self.start_rate.allows(now)
     }
 
+    fn count_ahead(&self, queued: &QueuedRequest<WaitingRequest>) -> usize {
+        self.queue.count_ahead(queued.rank) + usize::from(self.blocked.is_some())
+    }
+
+    /// Returns how long a request would wait for the rate that the upstream states, or `None` if it states none or the request
+    /// would not wait for it.
+    pub(crate) fn rate_limit_delay(
+        &self,
+        now: Duration,
+        queued: &QueuedRequest<WaitingRequest>,
+    ) -> Option<Duration> {
+        self.start_rate.stated_rate()?;
+        let delay = self.start_rate.delay(now, self.count_ahead(queued));
+        Some(delay).filter(|delay| !delay.is_zero())
+    }
+
     /// Returns the time until which a request may wait in the queue, or `None` if it would start too late.
     pub(crate) fn wait_until(
         &self,
         now: Duration,
         queued: &QueuedRequest<WaitingRequest>,
     ) -> Option<Duration> {
-        let waiting = self.queue.count_ahead(queued.rank) + usize::from(self.blocked.is_some());
+        let waiting = self.count_ahead(queued);
         let slots = self.concurrency_limit(now);
         let ahead = waiting + usize::from(self.limiter.in_flight() >= slots);
         let delay = self.start_rate.delay(now, waiting);
--- a/crates/router/src/home/request_starter.rs
+++ b/crates/router/src/home/request_starter.rs
@@ -174,6 +174,15 @@
 
 /// Refuses a request that has not started.
 pub(crate) fn refuse(queued: QueuedRequest<WaitingRequest>, reason: Reason) {
-    let statement = ArrivedRequest::new(queued.id).refuse(reason, None);
+    refuse_until(queued, reason, None);
+}
+
+/// Refuses a request that has not started, and states after which time the upstream may have capacity for it.
+pub(crate) fn refuse_until(
+    queued: QueuedRequest<WaitingRequest>,
+    reason: Reason,
+    retry_after: Option<Duration>,
+) {
+    let statement = ArrivedRequest::new(queued.id).refuse(reason, retry_after);
     let _ = queued.item.tx.send(Err(encode_statement(&statement)));
 }
