Let stand-in upstreams state rates and departures, and check both in traces

The stand-in of the upstream states a rate or its departure in all answers, and the checker of traces knows the rate that an upstream stated. Scenarios with real processes: three upstreams that state a rate below their load, two that state their departure.

--- a/crates/skylarkrudder/tests/faults/upstream_faults.rs
+++ b/crates/skylarkrudder/tests/faults/upstream_faults.rs
@@ -5,10 +5,15 @@
 use std::time::Duration;
 
 use standin::ExecutionOutcome;
+use standin::Location;
+use standin::Outage;
 use standin::POISON_MARKER;
+use standin::RateLimit;
+use standin::StatedLimit;
 use standin::UpstreamFaults;
 use standin::UpstreamOptions;
 use standin::Violation;
+use standin::monotonic_us;
 
 use crate::scenario::Scenario;
 
@@ -144,3 +149,53 @@
         "{crashes:?}"
     );
 }
+
+#[test]
+fn upstreams_that_state_a_rate_below_their_load() {
+    /// Time after which a home has got an answer with the limit.
+    const REACTION_US: u64 = 500_000;
+    let limited = ["ordering-a-1", "ordering-b-1", "workshop-a-1"];
+    Scenario::start()
+        .under_load(LOAD)
+        .during_load(|scenario| {
+            for vm in limited {
+                let faults = UpstreamFaults {
+                    rate_limit: Some(4.0),
+                    ..UpstreamFaults::default()
+                };
+                let limit = StatedLimit {
+                    from_us: monotonic_us() + REACTION_US,
+                    limit: RateLimit {
+                        burst: 3.0,
+                        rate: 4.0,
+                    },
+                    until_us: None,
+                    vm: vm.to_owned(),
+                };
+                scenario.fleet.set_upstream_faults(vm, &faults).unwrap();
+                scenario.facts.stated_limits.push(limit);
+            }
+        })
+        .check_trace();
+}
+
+#[test]
+fn upstream_that_states_its_departure() {
+    Scenario::start()
+        .under_load(LOAD)
+        .during_load(|scenario| {
+            for vm in ["ordering-a-1", "workshop-a-1"] {
+                let faults = UpstreamFaults {
+                    leaving: true,
+                    ..UpstreamFaults::default()
+                };
+                scenario.fleet.set_upstream_faults(vm, &faults).unwrap();
+                scenario.facts.outages.push(Outage {
+                    from_us: monotonic_us(),
+                    location: Location::Vm(vm.to_owned()),
+                    until_us: None,
+                });
+            }
+        })
+        .check_trace();
+}
--- a/crates/standin/src/checker/mod.rs
+++ b/crates/standin/src/checker/mod.rs
@@ -11,12 +11,14 @@
 mod responses;
 mod trace;
 mod trace_facts;
+mod upstream_rates;
 mod violation;
 
 pub use trace::Trace;
 pub use trace_facts::Location;
 pub use trace_facts::Outage;
 pub use trace_facts::RateLimit;
+pub use trace_facts::StatedLimit;
 pub use trace_facts::TraceFacts;
 pub use violation::Violation;
 
--- a/crates/standin/src/checker/trace.rs
+++ b/crates/standin/src/checker/trace.rs
@@ -11,6 +11,7 @@
 use crate::checker::ownership;
 use crate::checker::rates;
 use crate::checker::responses;
+use crate::checker::upstream_rates;
 
 /// Record of what upstreams ran and callers observed, with the limits and outages in force meanwhile.
 #[derive(Clone, Debug, Default)]
@@ -34,6 +35,7 @@
         violations.extend(ownership::check(self));
         violations.extend(out_of_service::check(self));
         violations.extend(rates::check(self, &index));
+        violations.extend(upstream_rates::check(self));
         violations.sort();
         violations.dedup();
         violations
--- a/crates/standin/src/checker/trace_facts.rs
+++ b/crates/standin/src/checker/trace_facts.rs
@@ -21,10 +21,26 @@
     pub grace_us: u64,
     /// Rate limits by workspace. Workspaces without a limit here are not checked.
     pub limits: BTreeMap<WorkspaceId, RateLimit>,
+    /// Limits that upstreams state in their answers.
+    pub stated_limits: Vec<StatedLimit>,
     /// Time at which the last tenant key of each workspace was withdrawn.
     pub withdrawn: BTreeMap<WorkspaceId, MonotonicUs>,
 }
 
+/// Limit on the rate of requests that an upstream states in its answers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct StatedLimit {
+    /// Time from which it must be kept.
+    pub from_us: MonotonicUs,
+    /// Rate, and number of requests that may start at once.
+    pub limit: RateLimit,
+    /// Time until which it must be kept, absent if it was not lifted.
+    pub until_us: Option<MonotonicUs>,
+    /// VM of the upstream.
+    pub vm: VmId,
+}
+
 /// Period in which a VM or an availability zone was out of service.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/standin/src/checker/violation.rs
+++ b/crates/standin/src/checker/violation.rs
@@ -5,6 +5,7 @@
 
 use ids::Fence;
 use ids::RequestId;
+use ids::VmId;
 use ids::WorkspaceId;
 use serde::Serialize;
 
@@ -75,6 +76,13 @@
         /// End of the window.
         until_us: MonotonicUs,
     },
+    /// An upstream got more requests than the rate that it states.
+    StatedRateExceeded {
+        /// The first request above the rate.
+        request_id: RequestId,
+        /// VM of the upstream.
+        vm: VmId,
+    },
     /// A request that may run only once ran more often.
     #[serde(rename = "ran_again")]
     DuplicateExecution {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -27,6 +27,7 @@
 pub use checker::Location;
 pub use checker::Outage;
 pub use checker::RateLimit;
+pub use checker::StatedLimit;
 pub use checker::Trace;
 pub use checker::TraceFacts;
 pub use checker::Violation;
--- a/crates/standin/src/upstream/faults.rs
+++ b/crates/standin/src/upstream/faults.rs
@@ -15,10 +15,14 @@
     pub late_ms: u64,
     /// Load to report instead of the actual load.
     pub load: Option<f64>,
+    /// Whether all answers state that the upstream is about to stop.
+    pub leaving: bool,
     /// Age of the reported load, in milliseconds.
     pub load_lag_ms: u64,
     /// Whether to stop sending announcements.
     pub mute: bool,
+    /// Number of requests per second that all answers state as the limit.
+    pub rate_limit: Option<f64>,
     /// Whether to shed all requests.
     pub sheds_all: bool,
     /// Whether connections that are open when the faults are set never respond again. Takes effect once; later
@@ -36,9 +40,11 @@
             accepts_overload: false,
             crossed_answers: 0,
             late_ms: 0,
+            leaving: false,
             load: None,
             load_lag_ms: 0,
             mute: false,
+            rate_limit: None,
             sheds_all: false,
             silence_connections: false,
             straggle_factor: 1.0,
--- a/crates/standin/src/upstream/response.rs
+++ b/crates/standin/src/upstream/response.rs
@@ -18,6 +18,24 @@
     instance: &str,
     req: &UpstreamRequest,
     outcome: ExecutionOutcome,
+) -> HttpResponse {
+    let mut response = outcome_response(state, instance, req, outcome);
+    let headers = response.headers_mut();
+    if state.faults.leaving {
+        headers.insert("skylark-leaving", HeaderValue::from_static("1"));
+    }
+    if let Some(rate) = state.faults.rate_limit {
+        let rate = HeaderValue::from_str(&rate.to_string()).expect("a number is ASCII");
+        headers.insert("skylark-rate-limit", rate);
+    }
+    response
+}
+
+fn outcome_response(
+    state: &mut State,
+    instance: &str,
+    req: &UpstreamRequest,
+    outcome: ExecutionOutcome,
 ) -> HttpResponse {
     let (status, not_run_reason) = match outcome {
         ExecutionOutcome::Ran => return completed_response(state, instance, req),
--- a/crates/standin/tests/checker.rs
+++ b/crates/standin/tests/checker.rs
@@ -11,7 +11,9 @@
 use standin::Observation;
 use standin::Outage;
 use standin::RateLimit;
+use standin::StatedLimit;
 use standin::Trace;
+use standin::Violation;
 
 /// Returns an execution of request `id` on shard 1 under fence 5, from `start_us` to `end_us`.
 fn execution(id: &str, start_us: u64, end_us: u64) -> Execution {
@@ -344,3 +346,29 @@
     }
     assert!((500..2_500).contains(&exceeded_count), "{exceeded_count}");
 }
+
+#[test]
+fn an_upstream_that_gets_more_than_the_rate_that_it_states_breaks_a_rule() {
+    let limited = |gap_us: u64| {
+        let mut trace = Trace::default();
+        let starts = (0..10).map(|number| number * gap_us);
+        trace.executions = starts
+            .map(|start_us| execution(&format!("id-{start_us}"), start_us, start_us + 1))
+            .collect();
+        trace.facts.stated_limits.push(StatedLimit {
+            from_us: 0,
+            limit: RateLimit {
+                burst: 2.0,
+                rate: 5.0,
+            },
+            until_us: None,
+            vm: "vm-1".to_owned(),
+        });
+        let violations = trace.check();
+        violations
+            .iter()
+            .any(|violation| matches!(violation, Violation::StatedRateExceeded { .. }))
+    };
+    assert!(!limited(200_000), "5 requests a second");
+    assert!(limited(150_000), "6.7 requests a second");
+}
