--- a/crates/membership/tests/model/faults.rs
+++ b/crates/membership/tests/model/faults.rs
@@ -1,5 +1,7 @@
 //! Random faults, all of which end before the run does.
 
+use std::collections::BTreeMap;
+
 use cluster::Body;
 use membership::Event;
 use rand::RngExt;
@@ -14,6 +16,9 @@
 /// Share of faults that are restores of the log, where these are included.
 const RESTORE_PROBABILITY: f64 = 0.15;
 
+/// Share of faults that are statements of upstreams, where these are included.
+const STATEMENT_PROBABILITY: f64 = 0.4;
+
 /// Maximum number of records that one restore loses.
 const MAX_LOST_RECORDS: usize = 12;
 
@@ -22,6 +27,7 @@
     /// Time of the next fault.
     due: u64,
     has_restores: bool,
+    has_statements: bool,
     /// Time at which all faults are healed.
     until: u64,
 }
@@ -31,6 +37,7 @@
         Self {
             due,
             has_restores: false,
+            has_statements: false,
             until,
         }
     }
@@ -43,6 +50,14 @@
         }
     }
 
+    /// Includes upstreams that state their departure, or the rate of requests that they accept.
+    pub(crate) fn with_statements(self) -> Self {
+        Self {
+            has_statements: true,
+            ..self
+        }
+    }
+
     pub(crate) fn inject(&mut self, sim: &mut Simulation) {
         if sim.at < self.due {
             return;
@@ -53,12 +68,17 @@
             if self.has_restores {
                 sim.append_as_operator(plans());
             }
+            if self.has_statements {
+                withdraw_statements(sim);
+            }
             return;
         }
         self.due = sim.at + sim.rng.random_range(100 * MS..2 * SECOND);
         if self.has_restores && sim.rng.random_bool(RESTORE_PROBABILITY) {
             let lost = sim.rng.random_range(0..=MAX_LOST_RECORDS);
             sim.log.restore(lost);
+        } else if self.has_statements && sim.rng.random_bool(STATEMENT_PROBABILITY) {
+            state_something(sim);
         } else {
             inject(sim);
         }
@@ -75,6 +95,42 @@
     }
 }
 
+/// Lets one upstream state its departure, or all members learn capacities.
+fn state_something(sim: &mut Simulation) {
+    let index = sim.rng.random_range(0..sim.nodes.len());
+    if sim.rng.random_bool(0.3) {
+        let accepted = sim.nodes[index].agent.upstream();
+        if let Some(process) = accepted.map(|accepted| accepted.process()) {
+            sim.schedule(0, index, Input::Home(Event::UpstreamLeft { process }));
+        }
+        return;
+    }
+    let mut capacities = BTreeMap::new();
+    for node in &sim.nodes {
+        if sim.rng.random_bool(0.5) {
+            let slots = f64::from(node.announcement().slots);
+            capacities.insert(node.vm.clone(), slots * sim.rng.random::<f64>());
+        }
+    }
+    for index in 0..sim.nodes.len() {
+        let capacities = capacities.clone();
+        let delay = sim.rng.random_range(0..SECOND);
+        sim.schedule(delay, index, Input::Home(Event::Capacities { capacities }));
+    }
+}
+
+/// Replaces all upstreams, and ends all limits.
+fn withdraw_statements(sim: &mut Simulation) {
+    for index in 0..sim.nodes.len() {
+        let node = &mut sim.nodes[index];
+        let instance = format!("{index}/{}", sim.at);
+        node.upstream = FakeUpstream::new(sim.at, node.upstream.rate, instance);
+        let capacities = BTreeMap::new();
+        sim.schedule(MS, index, Input::Home(Event::UpstreamLost));
+        sim.schedule(SECOND, index, Input::Home(Event::Capacities { capacities }));
+    }
+}
+
 fn inject(sim: &mut Simulation) {
     let index = sim.rng.random_range(0..sim.nodes.len());
     let other = sim.rng.random_range(0..sim.nodes.len());
--- a/crates/membership/tests/model/main.rs
+++ b/crates/membership/tests/model/main.rs
@@ -119,6 +119,11 @@
     assert_all_pass(Faults::new(0, FAULTS_UNTIL));
 }
 
+#[test]
+fn no_unit_has_two_owners_while_upstreams_state_departures_and_limits() {
+    assert_all_pass(Faults::new(FAULTS_FROM, FAULTS_UNTIL).with_statements());
+}
+
 #[test]
 fn detects_a_witness_that_renews_after_it_suspects() {
     assert!(detects_two_owners(BrokenRule::RenewsSuspected, 0..40));
