Count checks whether an upstream has crashed against its rate

A home asks its upstream for its health once a connection to it breaks; that request passed by the limiter.

--- a/crates/router/src/home/answer_reports.rs
+++ b/crates/router/src/home/answer_reports.rs
@@ -33,8 +33,9 @@
     /// Time at which an answer first stated that the upstream is about to stop.
     leaving_since: Option<Duration>,
     rate: StatedRate,
-    /// Number of requests that were sent once more since the last call of [`AnswerReports::take_repeated`].
-    repeated: u32,
+    /// Number of requests that were sent besides those that the home started, since the last call of
+    /// [`AnswerReports::take_extra_requests`].
+    extra_requests: u32,
 }
 
 impl AnswerReports {
@@ -66,9 +67,14 @@
         self.lock().rate.is_unknown()
     }
 
-    /// Returns the number of requests that were sent once more since the last call.
-    pub(crate) fn take_repeated(&self) -> u32 {
-        std::mem::take(&mut self.lock().repeated)
+    /// Returns the number of requests that were sent besides those that the home started, since the last call.
+    pub(crate) fn take_extra_requests(&self) -> u32 {
+        std::mem::take(&mut self.lock().extra_requests)
+    }
+
+    /// Counts a request that is sent besides those that the home starts.
+    pub(crate) fn record_extra_request(&self) {
+        self.lock().extra_requests += 1;
     }
 
     /// Records that the upstream states that it is about to stop, with the same effect as a check-in that says so.
@@ -145,6 +151,6 @@
     }
 
     fn repeat_request(&self) {
-        self.lock().repeated += 1;
+        self.record_extra_request();
     }
 }
--- a/crates/router/src/home/crash_report.rs
+++ b/crates/router/src/home/crash_report.rs
@@ -80,6 +80,7 @@
 
 /// Reports whether the upstream no longer runs or has restarted.
 async fn has_crashed(upstream: &LocalUpstream) -> bool {
+    upstream.reports.record_extra_request();
     match upstream.client.fetch_health().await {
         Ok(health) => health.instance != upstream.announcement.instance,
         Err(_) => true,
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -276,7 +276,7 @@
         if rate != self.start_rate.stated_rate() {
             self.start_rate.set_stated_rate(now, rate);
         }
-        for _ in 0..upstream.reports.take_repeated() {
+        for _ in 0..upstream.reports.take_extra_requests() {
             self.start_rate.record_sent(now);
         }
     }
