Give an upstream load again once no answer has confirmed its limit for 10 s

An upstream that stated a rate of 0 lost all units with load, got no request any more, and would have stayed without load after it lifted the limit, since only an answer can tell that. Found in the review of the change. After 10 s without an answer it counts for an eighth of its slots, so that a few units return; the limiter still holds their requests to the rate, and the first answer decides. The decision is policy::limited_capacity, with tests.

--- a/crates/policy/tests/start_rate.rs
+++ b/crates/policy/tests/start_rate.rs
@@ -4,6 +4,7 @@
 
 use policy::StartRateLimiter;
 use policy::StatedRate;
+use policy::limited_capacity;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -115,3 +116,18 @@
     assert_eq!(stated.requests_per_second(), None);
     assert!(!stated.is_unknown());
 }
+
+#[test]
+fn capacity_is_the_stated_rate_times_the_service_time_but_no_more_than_the_slots() {
+    let capacity = |rate, since| limited_capacity(rate, 50 * MS, 8, since);
+    assert_eq!(capacity(20.0, MS), 1.0);
+    assert_eq!(capacity(f64::MAX, MS), 8.0);
+    assert_eq!(capacity(0.0, 9_000 * MS), 0.0);
+}
+
+#[test]
+fn an_upstream_whose_limit_no_answer_has_confirmed_lately_is_given_some_load() {
+    let capacity = |rate| limited_capacity(rate, 50 * MS, 8, 11_000 * MS);
+    assert_eq!(capacity(0.0), 1.0);
+    assert_eq!(capacity(100.0), 5.0);
+}
--- a/crates/router/src/control/load_exchange.rs
+++ b/crates/router/src/control/load_exchange.rs
@@ -155,7 +155,9 @@
 
 /// Encodes a capacity as [`MemberLoads::capacities`] defines it.
 fn encode(capacity: Option<f64>) -> u64 {
-    capacity.map_or(0, |capacity| (capacity * 1_000.0) as u64 + 1)
+    capacity.map_or(0, |capacity| {
+        ((capacity * 1_000.0) as u64).saturating_add(1)
+    })
 }
 
 /// Decodes a capacity that [`encode`] returned.
--- a/crates/router/src/home/answer_reports.rs
+++ b/crates/router/src/home/answer_reports.rs
@@ -30,6 +30,8 @@
 struct State {
     /// The last limit that could not be read, until one can be read.
     invalid_limit: Option<String>,
+    /// Time at which the last answer began.
+    last_answer: Duration,
     /// Time at which an answer first stated that the upstream is about to stop.
     leaving_since: Option<Duration>,
     rate: StatedRate,
@@ -62,6 +64,11 @@
         self.lock().leaving_since
     }
 
+    /// Returns the time at which the last answer began, or zero before the first.
+    pub(crate) fn last_answer(&self) -> Duration {
+        self.lock().last_answer
+    }
+
     /// Reports whether no answer has stated yet whether the upstream limits the rate of requests.
     pub(crate) fn is_rate_unknown(&self) -> bool {
         self.lock().rate.is_unknown()
@@ -132,6 +139,7 @@
 
 impl AnswerObserver for AnswerReports {
     fn begin_answer(&self, head: &AnswerHead) {
+        self.lock().last_answer = self.shared.clock.now();
         if head.is_leaving {
             self.record_leaving();
         }
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -28,6 +28,7 @@
 use policy::StartRateLimiter;
 use policy::Suspects;
 use policy::Ticket;
+use policy::limited_capacity;
 use telemetry::DecisionDetails;
 use tokio::sync::oneshot;
 use wire::Outcome;
@@ -292,9 +293,14 @@
     }
 
     /// Returns the number of slots that can be used at the rate that the upstream states.
-    pub(crate) fn limited_capacity(&self) -> Option<f64> {
-        let rate = self.start_rate.stated_rate()?;
-        Some(rate * self.service_times.mean()?.as_secs_f64())
+    pub(crate) fn limited_capacity(&self, now: Duration) -> Option<f64> {
+        let upstream = self.upstream.as_ref()?;
+        Some(limited_capacity(
+            self.start_rate.stated_rate()?,
+            self.service_times.mean()?,
+            upstream.announcement.slots,
+            now.saturating_sub(upstream.reports.last_answer()),
+        ))
     }
 
     /// Counts a request that is refused because the upstream limits the rate of requests as load of its unit. The units of such
