Split capacity and queue maintenance from the files of the home

What answers state about the upstream and the capacity that follows is in upstream_capacity.rs, the loop over the queue in queue_maintenance.rs. No behaviour changes.

--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -48,7 +48,6 @@
 use crate::home::messages::restore_derived_fields;
 use crate::home::request_starter::RequestStarter;
 use crate::home::request_starter::refuse;
-use crate::home::request_starter::refuse_expired;
 use crate::home::request_starter::refuse_until;
 use crate::home::waiting_request::WaitingRequest;
 use crate::shared::Shared;
@@ -57,21 +56,15 @@
 /// Longest time that a request waits because its idempotency key was created by a clock ahead of this one.
 const LONGEST_CLOCK_WAIT: Duration = Duration::from_secs(2);
 
-/// Time between two checks of the queue while requests wait.
-const TICK: Duration = Duration::from_millis(20);
-
-/// Time between two checks of the queue while it is empty.
-const IDLE_TICK: Duration = Duration::from_millis(100);
-
 /// Runs requests on the local upstream.
 #[derive(Debug)]
 pub(crate) struct Home {
     /// Total size of the bodies of the requests that wait or run, in bytes.
     body_bytes: Arc<AtomicUsize>,
-    handovers: Arc<IncomingHandovers>,
+    pub(crate) handovers: Arc<IncomingHandovers>,
     pub(crate) control: ControlSender,
     /// Notified when a request waits.
-    queued: Notify,
+    pub(crate) queued: Notify,
     pub(crate) shared: Arc<Shared>,
     state: Mutex<HomeState>,
 }
@@ -243,7 +236,7 @@
     }
 
     /// Starts waiting requests while the upstream has capacity.
-    fn start_requests(self: &Arc<Self>, state: &mut HomeState) {
+    pub(crate) fn start_requests(self: &Arc<Self>, state: &mut HomeState) {
         RequestStarter::new(self, state).run();
     }
 
@@ -267,7 +260,7 @@
     }
 
     /// Reports drained units to the control thread.
-    fn report_drained(&self, state: &mut HomeState) {
+    pub(crate) fn report_drained(&self, state: &mut HomeState) {
         let units = state.take_drained();
         if !units.is_empty() {
             self.control.send_event(Event::Drained { units });
@@ -339,53 +332,6 @@
         drop(cancelled);
     }
 
-    /// Expires and starts waiting requests, and applies changes of the view, until the process ends.
-    pub(crate) async fn maintain_queue(self: Arc<Self>) {
-        loop {
-            let (is_empty, pause) = self.maintenance_pause();
-            tokio::select! {
-                () = tokio::time::sleep(pause) => {}
-                () = self.queued.notified(), if is_empty => continue,
-            }
-            let now = self.shared.clock.now();
-            let view = self.shared.view();
-            let mut state = self.lock();
-            state.apply_fleet_changes(&view);
-            if state.update_served_units(now, &view, &self.handovers) {
-                for queued in state.take_ungranted(&view) {
-                    refuse(queued, Reason::NotOwner);
-                }
-            }
-            state.tick(now);
-            for queued in state.queue.take_expired(now) {
-                refuse_expired(now, queued);
-            }
-            self.report_drained(&mut state);
-            self.start_requests(&mut state);
-        }
-    }
-
-    /// Reports whether the queue is empty, and returns the time until its next check. A request that waits for the rate limit
-    /// of the upstream starts as soon as the limit allows.
-    fn maintenance_pause(&self) -> (bool, Duration) {
-        let state = self.lock();
-        if state.queue.is_empty() {
-            return (true, IDLE_TICK);
-        }
-        let delay = state.start_rate.delay(self.shared.clock.now(), 0);
-        match delay.is_zero() {
-            true => (false, TICK),
-            false => (false, delay.min(TICK)),
-        }
-    }
-
-    /// Waits until no request waits or runs.
-    pub(crate) async fn wait_until_idle(&self) {
-        while self.count_requests() != (0, 0) {
-            tokio::time::sleep(TICK).await;
-        }
-    }
-
     /// Records the outcome of a request.
     pub(crate) fn finish(&self, request_id: &str, outcome: &Outcome) {
         let now = self.shared.clock.now();
--- a/crates/router/src/home/mod.rs
+++ b/crates/router/src/home/mod.rs
@@ -13,8 +13,10 @@
 mod messages;
 mod moving_mean;
 mod permit;
+mod queue_maintenance;
 mod request_starter;
 mod unit_tracker;
+mod upstream_capacity;
 mod waiting_request;
 
 pub(crate) use home_service::Home;
