Send a request to a home that stops only once

Beside load, a request that was sent 0.6 s before a process was to be killed ended with 502 and an unknown outcome, although it never ran: the log of a run of requests_are_not_cut_at_the_end_of_the_grace_while_the_store_is_away_and_no_unit_can_move shows that its home refused it five times as stopping, the entry sent it again each time, and the sixth arrived when the process had just ended. Cause: the entry retries until the key has another owner, and sends to the same one meanwhile. It now sends to an owner that stops no more, and waits for another owner or fence; then the refusal stands, as not run.

--- a/crates/router/src/entry/keyed_router.rs
+++ b/crates/router/src/entry/keyed_router.rs
@@ -43,8 +43,12 @@
         let queue_deadline = clock.now() + Duration::from_millis(dispatch.queue_ms);
         let retry_until = deadline.min(queue_deadline);
         let mut retry_delay = INITIAL_RETRY_DELAY;
+        let mut stopping = None;
         loop {
-            let reason = match self.find_owner(&dispatch) {
+            let owner = self.find_owner(&dispatch);
+            let reason = match owner {
+                // A home that refuses a request because it stops would refuse it again, or end while it is being sent.
+                Some(target) if stopping == Some(target.grant.clone()) => Reason::Stopping,
                 Some(target) => match self.attempt(admitted, &target, &mut dispatch).await {
                     AttemptResult::Answered(answer) => return Ok(answer),
                     AttemptResult::NotRun(returned, statement) => {
@@ -54,6 +58,9 @@
                             let delay = delay.max(statement.retry_after().unwrap_or_default());
                             return Err(admitted.refuse(statement.reason(), Some(delay)));
                         }
+                        if statement.reason() == Reason::Stopping {
+                            stopping = Some(target.grant);
+                        }
                         statement.reason()
                     }
                     AttemptResult::Refused(refusal) => return Err(refusal),
