Wait until a read is registered before it is ended in the test of overdue reads

The service accepts the connection before the client registers the read, and the test asked in between. It now asks until a read is ended, and still asserts that exactly one is.

--- a/crates/records/tests/records/lost_reads.rs
+++ b/crates/records/tests/records/lost_reads.rs
@@ -47,7 +47,13 @@
     let (log, read) = start_read(&listener);
     assert_eq!(log.end_overdue_reads(WAIT_TIMEOUT), 0);
     assert!(!read.is_finished());
-    assert_eq!(log.end_overdue_reads(Duration::ZERO), 1);
+    // The service accepts the connection before the read counts as waiting.
+    let started = Instant::now();
+    let mut ended = 0;
+    while ended == 0 && started.elapsed() < WAIT_TIMEOUT {
+        ended = log.end_overdue_reads(Duration::ZERO);
+    }
+    assert_eq!(ended, 1);
     expect_unavailable(read);
 }
 
