Report the parts of an evacuation

Nothing told when a process had read an evacuation from the operators, when from the log, and when its last unit had moved, so the hypotheses of the incident could not be told apart. Each process logs zone_declared, zone_recorded and evacuated once, and exports the duration of its evacuation.

--- a/crates/membership/src/agent_lifecycle.rs
+++ b/crates/membership/src/agent_lifecycle.rs
@@ -9,7 +9,6 @@
 use crate::Action;
 use crate::Agent;
 use crate::Announcement;
-use crate::Decision;
 use crate::LeaveReason;
 use crate::MemberState;
 use crate::times::LEASE_LOST_AFTER;
@@ -170,39 +169,4 @@
             actions.push(Action::Stopped);
         }
     }
-
-    /// Reports the decisions that have changed since the last report.
-    pub(crate) fn report_changes(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let holds = self.lease.holds(now);
-        if let Some(incarnation) = self.state.incarnation()
-            && holds != self.last_report.lease_held
-        {
-            actions.push(Action::LogDecision(Decision::lease_changed(
-                holds,
-                incarnation,
-            )));
-        }
-        self.last_report.lease_held = holds;
-        let informed = self.is_informed(now);
-        if informed != self.last_report.is_informed {
-            self.last_report.is_informed = informed;
-            actions.push(Action::LogDecision(Decision::informed_changed(informed)));
-        }
-        let fleet = self.log.fleet();
-        let versions = (fleet.plans_version(), fleet.workspaces_version());
-        if versions != self.last_report.versions {
-            self.last_report.versions = versions;
-            actions.push(Action::LogDecision(Decision::ConfigurationInForce {
-                plans: versions.0,
-                workspaces: versions.1,
-            }));
-        }
-        let accepted = self.upstream.accepted();
-        let instance = accepted.map(|accepted| accepted.instance.clone());
-        if instance != self.last_report.instance {
-            self.last_report.instance.clone_from(&instance);
-            let accepted = instance.map(|instance| Decision::UpstreamAccepted { instance });
-            actions.extend(accepted.map(Action::LogDecision));
-        }
-    }
 }
--- a/crates/membership/src/agent_moves.rs
+++ b/crates/membership/src/agent_moves.rs
@@ -57,7 +57,7 @@
     }
 
     /// Reports whether the member moves all its units to other members.
-    fn is_evacuating(&self) -> bool {
+    pub(crate) fn is_evacuating(&self) -> bool {
         let fleet = self.log.fleet();
         let member = fleet.members().get(&self.cfg.vm);
         self.stop_deadline.is_some()
--- a/crates/membership/src/decision.rs
+++ b/crates/membership/src/decision.rs
@@ -6,6 +6,7 @@
 use ids::Offset;
 use ids::Unit;
 use ids::VmId;
+use ids::ZoneId;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -49,6 +50,11 @@
         /// Incarnation of the member.
         incarnation: Incarnation,
     },
+    /// This member, which is out of service, owns no units any more.
+    Evacuated {
+        /// Time since the process learned that the member is out of service, in milliseconds.
+        elapsed_ms: u64,
+    },
     /// The log was restored from a backup, and the process follows its new generation.
     LogRestored {
         /// The generation.
@@ -94,6 +100,20 @@
         /// Id of the upstream process.
         instance: String,
     },
+    /// Operators have declared the state of a zone outside the log.
+    ZoneDeclared {
+        /// Whether the zone is out of service.
+        out: bool,
+        /// The zone.
+        zone: ZoneId,
+    },
+    /// The log states a new state of a zone.
+    ZoneRecorded {
+        /// Whether the zone is out of service.
+        out: bool,
+        /// The zone.
+        zone: ZoneId,
+    },
 }
 
 impl Decision {
@@ -101,6 +121,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Self::ConfigurationInForce { .. } => "configuration_in_force",
+            Self::Evacuated { .. } => "evacuated",
             Self::Informed => "informed",
             Self::Joined { .. } => "joined",
             Self::LeaseEnded { .. } => "lease_ended",
@@ -113,6 +134,8 @@
             Self::Uninformed => "uninformed",
             Self::LogRestored { .. } => "log_restored",
             Self::UpstreamAccepted { .. } => "upstream_accepted",
+            Self::ZoneDeclared { .. } => "zone_declared",
+            Self::ZoneRecorded { .. } => "zone_recorded",
         }
     }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -49,6 +49,7 @@
 mod agent_lifecycle;
 mod agent_log;
 mod agent_moves;
+mod agent_report;
 mod agent_restore;
 mod agent_settings;
 mod agent_witness;
--- a/crates/router/src/control/control_telemetry.rs
+++ b/crates/router/src/control/control_telemetry.rs
@@ -52,8 +52,13 @@
     pub(super) fn log_decision(&self, decision: &Decision) {
         let metrics = &self.parts.shared.metrics;
         metrics.count_event("membership", decision.kind());
-        if let Decision::Acquired { wait_ms, .. } = decision {
-            metrics.record_duration("takeover_wait", Duration::from_millis(*wait_ms));
+        let duration = match decision {
+            Decision::Acquired { wait_ms, .. } => Some(("takeover_wait", wait_ms)),
+            Decision::Evacuated { elapsed_ms } => Some(("evacuation", elapsed_ms)),
+            _ => None,
+        };
+        if let Some((name, millis)) = duration {
+            metrics.record_duration(name, Duration::from_millis(*millis));
         }
         let line = DecisionLine {
             time_unix_ms: unix_ms(),
