Plan an evacuation at once, not after the interval of balance plans

Callers saw: requests reached an evacuated zone after the bound (EVAC). Cause: the time of the next plan of moves was set when the last plan was made, for a member whose upstream polls its grants 2.5 s ahead. A member that was taken out of service soon after a plan that balances load waited for that time, although the interval of evacuations is 20 ms, and planned at the first check-in after it. The due time follows now from the time of the last plan and the interval of the present state. A stop needed the same and had its own reset, which goes.

Evidence: an_evacuation_is_planned_at_the_next_check_in failed before: 0.9 s after a plan the answer to the check-in still granted all eight shards.

--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -130,7 +130,6 @@
             }
             Event::RecordsExpired { first } => self.log.records_expired(first),
             Event::Stop => {
-                self.schedule.next_move_plan = now;
                 self.schedule.has_nothing_to_move = false;
                 self.stop_deadline
                     .get_or_insert(now + self.cfg.stop_timeout);
--- a/crates/membership/src/agent_moves.rs
+++ b/crates/membership/src/agent_moves.rs
@@ -15,7 +15,6 @@
 use crate::Destination;
 use crate::MemberState;
 use crate::MoveReason;
-use crate::schedule::is_due;
 use crate::times::EVACUATION_BUDGET;
 use crate::times::EVACUATION_PLAN_INTERVAL;
 use crate::times::MAX_RANGES;
@@ -39,9 +38,12 @@
             (false, true) => POLLED_MOVE_PLAN_INTERVAL,
             (false, false) => MOVE_PLAN_INTERVAL,
         };
-        if !is_due(&mut self.schedule.next_move_plan, now, interval) {
+        // The interval depends on the present state, as an evacuation may begin soon after a plan that balances load.
+        let last_plan = self.schedule.last_move_plan;
+        if last_plan.is_some_and(|last_plan| now < last_plan + interval) {
             return;
         }
+        self.schedule.last_move_plan = Some(now);
         self.loads.budget = if is_evacuating {
             EVACUATION_BUDGET
         } else {
--- a/crates/membership/src/schedule.rs
+++ b/crates/membership/src/schedule.rs
@@ -15,13 +15,13 @@
     pub(crate) declarations_settled_at: Duration,
     /// Whether the last plan contained no moves.
     pub(crate) has_nothing_to_move: bool,
+    /// Time of the last plan of moves.
+    pub(crate) last_move_plan: Option<Duration>,
     last_tick: Option<Duration>,
     /// Offset that the newest snapshot covers, and the time at which that was read.
     pub(crate) newest_snapshot: (Offset, Duration),
     /// Time of the next replacement of witnesses that cannot renew.
     pub(crate) next_lost_rewitness: Duration,
-    /// Time at which moves are planned next.
-    pub(crate) next_move_plan: Duration,
     /// Time of the next pull from a peer.
     pub(crate) next_pull: Duration,
     /// Time of the next replacement of witnesses.
--- /dev/null
+++ b/crates/membership/tests/polled/evacuations.rs
@@ -0,0 +1,42 @@
+//! Evacuations of the availability zone of a member whose upstream polls its grants.
+
+use cluster::UnitFence;
+use membership::Event;
+use membership::OperatorDeclarations;
+
+use crate::process::Process;
+use crate::process::manifest;
+
+/// Zone of the process.
+const ZONE: &str = "z";
+
+/// Returns a process that serves all shards, beside another member that could take them, and the shards.
+///
+/// The other member is in another region, so the process needs no witness.
+fn process_beside_another_member() -> (Process, Vec<UnitFence>) {
+    let mut process = Process::new();
+    let granted = process.check_in_until_granted(1, 1);
+    let join = r#"{"body":{"type":"join","connections":9,"peer":"10.0.1.1:7000","region":"r-2","service":"orders",
+        "slots":9,"vm":"vm-2","zone":"y"},"id":"j","writer":"vm-2"}"#;
+    let event = process.append(&[serde_json::from_str(join).unwrap()]);
+    process.handle(event);
+    (process, granted)
+}
+
+fn declare(process: &mut Process, position: u64, zones: &[&str]) {
+    process.handle(Event::Declared(OperatorDeclarations {
+        manifest: Some(Box::new(manifest())),
+        position,
+        zones_out: zones.iter().map(|zone| (*zone).to_owned()).collect(),
+    }));
+}
+
+// EVAC: the plan of an evacuation waited for the interval between two plans that balance load.
+#[test]
+fn an_evacuation_is_planned_at_the_next_check_in() {
+    let (mut process, granted) = process_beside_another_member();
+    process.check_in(1, 10, granted.clone());
+    declare(&mut process, 10, &[ZONE]);
+    let answer = process.check_in(1, 11, granted);
+    assert_eq!(answer.granted, [], "the upstream is to hold nothing");
+}
