Act on the declared state of a zone before the log holds it

Callers saw: requests reached an evacuated zone after the bound (EVAC). Entries, and the plans of owners, take the states that are declared and not recorded yet into account (PendingZones). The fold does not, as it must be the same everywhere, and the order of declarations by position stays.

Evidence: units_leave_a_zone_that_is_declared_out_before_the_log_holds_that and no_unit_goes_to_a_zone_that_is_declared_out fail without the two lines that use the declared states: shards stay granted, and go to the evacuated zone.

--- a/crates/bench/src/placement_simulation.rs
+++ b/crates/bench/src/placement_simulation.rs
@@ -12,6 +12,7 @@
 use cluster::LoadView;
 use cluster::Member;
 use cluster::Outcome;
+use cluster::PendingZones;
 use cluster::Record;
 use cluster::UnitFence;
 use cluster::plan_moves;
@@ -176,6 +177,7 @@
             max_shards: None,
             tolerance: None,
             budget,
+            pending_zones: PendingZones::default(),
             peer_loads: previous_loads.clone(),
             stopping: false,
             unit_loads: units
--- a/crates/cluster/src/load_view.rs
+++ b/crates/cluster/src/load_view.rs
@@ -5,7 +5,9 @@
 use ids::Unit;
 use ids::VmId;
 
+use crate::Fleet;
 use crate::Member;
+use crate::PendingZones;
 
 /// Loads and limits that a member plans moves with. All loads are in one unit, such as requests per second.
 #[derive(Clone, Debug, Default)]
@@ -19,6 +21,8 @@
     /// Known total loads of other members, which may be out of date. Loads are used only if those of all other members
     /// of the service are known.
     pub peer_loads: BTreeMap<VmId, f64>,
+    /// States of zones that the log does not hold yet.
+    pub pending_zones: PendingZones,
     /// Whether the member is about to stop and moves all of its units.
     pub stopping: bool,
     /// Fraction of its fair share by which the load of a member may differ before units are moved, or `None` for a
@@ -31,6 +35,11 @@
 }
 
 impl LoadView {
+    /// Reports whether a member may become the owner of shards and pinned keys of its service.
+    pub(crate) fn is_candidate(&self, fleet: &Fleet, member: &Member) -> bool {
+        self.pending_zones.is_candidate(fleet, member)
+    }
+
     /// Returns the number of requests that the upstream of a member can run at once.
     pub(crate) fn capacity_of(&self, member: &Member) -> f64 {
         let slots = f64::from(member.join.slots);
--- a/crates/cluster/src/plan_moves.rs
+++ b/crates/cluster/src/plan_moves.rs
@@ -111,7 +111,7 @@
 
 impl<'a> Planner<'a> {
     fn is_leaving(&self) -> bool {
-        self.view.stopping || !self.fleet.is_candidate(self.me)
+        self.view.stopping || !self.view.is_candidate(self.fleet, self.me)
     }
 
     /// Reports whether the member has far more units than its share.
@@ -155,7 +155,7 @@
 
     fn may_receive(&self, member: &Member) -> bool {
         let is_leaving = member.join.vm == self.me.join.vm && self.view.stopping;
-        self.fleet.is_candidate(member) && !is_leaving
+        self.view.is_candidate(self.fleet, member) && !is_leaving
     }
 
     fn plan_bucket_moves(&self) -> BTreeMap<VmId, Vec<Unit>> {
@@ -185,7 +185,7 @@
             .filter(|(_, to)| *to != self.me.join.vm)
             .filter(|(_, to)| {
                 let member = self.fleet.members().get(to);
-                member.is_some_and(|member| self.fleet.is_candidate(member))
+                member.is_some_and(|member| self.view.is_candidate(self.fleet, member))
             })
             .collect()
     }
--- a/crates/cluster/src/plan_pins.rs
+++ b/crates/cluster/src/plan_pins.rs
@@ -91,7 +91,7 @@
 fn fair_share(fleet: &Fleet, me: &Member, view: &LoadView) -> Option<f64> {
     let total = service_load(fleet, me, view)?;
     let capacity: f64 = service_members(fleet, &me.join.service)
-        .filter(|member| fleet.is_candidate(member))
+        .filter(|member| view.is_candidate(fleet, member))
         .map(|member| view.capacity_of(member))
         .sum();
     Some(total * view.capacity_of(me) / capacity.max(1.0))
--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -5,6 +5,7 @@
 
 use cluster::Body;
 use cluster::Document;
+use cluster::PendingZones;
 use ids::Offset;
 use ids::ZoneId;
 use ids::generation_of;
@@ -75,22 +76,29 @@
 
     fn next_zone(&self, now: Duration) -> Option<Body> {
         self.declarations.manifest.as_ref()?;
+        let pending = self.pending_zones(now);
+        let (zone, out) = pending.iter().next()?;
+        Some(Body::Zone {
+            base: self.log.fleet().zone_version(zone),
+            out,
+            position: self.declarations.position,
+            zone: zone.clone(),
+        })
+    }
+
+    /// Returns the zones whose state operators have declared and that the log does not hold yet.
+    pub fn pending_zones(&self, now: Duration) -> PendingZones {
         let fleet = self.log.fleet();
         let out: BTreeSet<&ZoneId> = fleet.zones_out().collect();
         let declared: BTreeSet<&ZoneId> = self.declarations.zones_out.iter().collect();
-        let mut differing = declared.symmetric_difference(&out);
-        let zone = differing.find(|zone| {
+        let differing = declared.symmetric_difference(&out).filter(|zone| {
             let position = fleet.zone_position(zone);
             // Declarations that were read up to the same position do not differ, unless some were lost.
             position < self.declarations.position
                 && (declared.contains(*zone) || self.is_withdrawn_after(position, now))
-        })?;
-        Some(Body::Zone {
-            base: fleet.zone_version(zone),
-            out: declared.contains(*zone),
-            position: self.declarations.position,
-            zone: (*zone).clone(),
-        })
+        });
+        let states = differing.map(|zone| ((*zone).clone(), declared.contains(*zone)));
+        states.collect()
     }
 
     /// Reports whether operators have withdrawn what they declared at `position`, if the current declarations lack it. After
--- a/crates/membership/src/agent_moves.rs
+++ b/crates/membership/src/agent_moves.rs
@@ -32,7 +32,7 @@
         if !is_steady || (self.owned_units.is_handing_over() && !polls) {
             return;
         }
-        let is_evacuating = self.is_evacuating();
+        let is_evacuating = self.is_evacuating(now);
         let interval = match (is_evacuating, polls) {
             (true, _) => EVACUATION_PLAN_INTERVAL,
             (false, true) => POLLED_MOVE_PLAN_INTERVAL,
@@ -50,6 +50,7 @@
             MOVE_BUDGET.max(self.owned_units.len() / MOVE_BUDGET_DIVISOR)
         };
         self.loads.stopping = self.stop_deadline.is_some() || self.upstream.is_draining();
+        self.loads.pending_zones = self.pending_zones(now);
         self.loads.max_shards = polls.then_some(MAX_RANGES);
         self.loads.tolerance = self.cfg.load_tolerance;
         self.plan_moves(actions);
@@ -59,12 +60,12 @@
     }
 
     /// Reports whether the member moves all its units to other members.
-    pub(crate) fn is_evacuating(&self) -> bool {
+    pub(crate) fn is_evacuating(&self, now: Duration) -> bool {
         let fleet = self.log.fleet();
         let member = fleet.members().get(&self.cfg.vm);
         self.stop_deadline.is_some()
             || self.upstream.is_draining()
-            || member.is_some_and(|member| !fleet.is_candidate(member))
+            || member.is_some_and(|member| !self.pending_zones(now).is_candidate(fleet, member))
     }
 
     fn plan_moves(&mut self, actions: &mut Vec<Action>) {
@@ -134,7 +135,7 @@
             return;
         };
         let incarnation = active.incarnation;
-        let reason = self.move_reason();
+        let reason = self.move_reason(now);
         while let Some((to, units)) = self.owned_units.next_revoked_batch(&self.upstream) {
             self.owned_units.mark_moving(&units);
             for moved in &units {
@@ -162,8 +163,8 @@
         }
     }
 
-    fn move_reason(&self) -> MoveReason {
-        match self.is_evacuating() {
+    fn move_reason(&self, now: Duration) -> MoveReason {
+        match self.is_evacuating(now) {
             _ if self.stop_deadline.is_some() => MoveReason::Stopping,
             true => MoveReason::TakenOut,
             false => MoveReason::Balance,
--- a/crates/membership/src/agent_report.rs
+++ b/crates/membership/src/agent_report.rs
@@ -65,7 +65,7 @@
     /// Reports when a member that is out of service owns no units any more.
     fn report_evacuation(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let is_member = matches!(self.state, MemberState::Active(_));
-        if !is_member || !self.is_evacuating() {
+        if !is_member || !self.is_evacuating(now) {
             self.last_report.evacuating_since = None;
         } else if self.owned_units.len() > 0 {
             self.last_report.evacuating_since.get_or_insert(now);
--- a/crates/membership/tests/polled/evacuations.rs
+++ b/crates/membership/tests/polled/evacuations.rs
@@ -1,10 +1,13 @@
 //! Evacuations of the availability zone of a member whose upstream polls its grants.
 
+use std::collections::BTreeMap;
+
 use cluster::UnitFence;
 use membership::Event;
 use membership::OperatorDeclarations;
 
 use crate::process::Process;
+use crate::process::SHARDS;
 use crate::process::manifest;
 
 /// Zone of the process.
@@ -40,3 +43,41 @@
     let answer = process.check_in(1, 11, granted);
     assert_eq!(answer.granted, [], "the upstream is to hold nothing");
 }
+
+// EVAC: units were drained only once the log held the evacuation.
+#[test]
+fn units_leave_a_zone_that_is_declared_out_before_the_log_holds_that() {
+    let (mut process, granted) = process_beside_another_member();
+    process.loses_zone_records = true;
+    declare(&mut process, 10, &[ZONE]);
+    let answer = process.check_in(1, 10, granted.clone());
+    assert_eq!(answer.granted, [], "the upstream is to hold nothing");
+    process.check_in(1, 11, Vec::new());
+    assert!(process.agent.serving_units().is_empty());
+    let units = granted.iter().map(|granted| &granted.unit);
+    let owners: BTreeMap<_, _> = units
+        .map(|unit| (unit, process.agent.fleet().owner(unit).unwrap().vm.as_str()))
+        .collect();
+    assert!(owners.values().all(|vm| *vm == "vm-2"), "{owners:?}");
+}
+
+#[test]
+fn no_unit_goes_to_a_zone_that_is_declared_out() {
+    let (mut process, granted) = process_beside_another_member();
+    process.loses_zone_records = true;
+    declare(&mut process, 10, &["y"]);
+    for sequence in 10..20 {
+        process.check_in(1, sequence, granted.clone());
+    }
+    assert_eq!(process.agent.serving_units().len(), SHARDS as usize);
+}
+
+#[test]
+fn a_zone_that_is_declared_in_again_keeps_its_units() {
+    let (mut process, granted) = process_beside_another_member();
+    process.loses_zone_records = true;
+    declare(&mut process, 10, &[ZONE, "y"]);
+    declare(&mut process, 11, &["y"]);
+    let answer = process.check_in(1, 10, granted.clone());
+    assert_eq!(answer.granted, granted);
+}
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -366,6 +366,11 @@
         } else {
             Arc::new(agent.serving_units().clone())
         };
+        let pending_zones = agent.pending_zones(now);
+        let pending_zones = match pending_zones == *current.pending_zones {
+            true => Arc::clone(&current.pending_zones),
+            false => Arc::new(pending_zones),
+        };
         let status = Arc::new(agent.status(now));
         let upstream = match (agent.upstream(), &current.upstream) {
             (Some(accepted), Some(known)) if *accepted == **known => Some(Arc::clone(known)),
@@ -376,6 +381,7 @@
             fleet,
             is_informed: agent.is_informed(now),
             is_up_to_date: agent.is_up_to_date(now),
+            pending_zones,
             request_deadline: agent.request_deadline(),
             serving,
             status,
--- a/crates/router/src/entry/keyless_router.rs
+++ b/crates/router/src/entry/keyless_router.rs
@@ -61,7 +61,7 @@
         let service = services
             .entry(name.to_owned())
             .or_insert_with(|| KeylessService::new(name, &shared.zone, self.seed, &shared.policy));
-        service.update_candidates(shared.clock.now(), &view.fleet);
+        service.update_candidates(shared.clock.now(), &view);
         use_service(service)
     }
 
--- a/crates/router/src/entry/keyless_service.rs
+++ b/crates/router/src/entry/keyless_service.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
-use cluster::Fleet;
+use cluster::PendingZones;
 use ids::Offset;
 use ids::VmId;
 use ids::ZoneId;
@@ -20,6 +21,7 @@
 
 use crate::settings::ChooserKind;
 use crate::settings::PolicySettings;
+use crate::view::View;
 
 /// Candidates, retry budget and hedging policies of one service without keys.
 #[derive(Debug)]
@@ -31,6 +33,8 @@
     /// Hedging policies by the target latency of the route, since the work of a request differs between routes.
     hedge_policies: BTreeMap<Duration, HedgePolicy>,
     next_ticket: Ticket,
+    /// States of zones that the candidates were taken from besides the fleet.
+    pending_zones: Arc<PendingZones>,
     pub(crate) retry_budget: RetryBudget,
     service: String,
 }
@@ -50,20 +54,30 @@
             fleet_offset: 0,
             hedge_policies: BTreeMap::new(),
             next_ticket: 0,
+            pending_zones: Arc::default(),
             retry_budget: RetryBudget::new(policy.extra_percent()),
             service: service.to_owned(),
         }
     }
 
     /// Updates the candidates to the members that provide the service.
-    pub(crate) fn update_candidates(&mut self, now: Duration, fleet: &Fleet) {
-        if self.fleet_offset == fleet.next_offset() {
+    pub(crate) fn update_candidates(&mut self, now: Duration, view: &View) {
+        let View {
+            fleet,
+            pending_zones,
+            ..
+        } = view;
+        if self.fleet_offset == fleet.next_offset()
+            && Arc::ptr_eq(&self.pending_zones, pending_zones)
+        {
             return;
         }
         self.fleet_offset = fleet.next_offset();
+        self.pending_zones = Arc::clone(pending_zones);
         let members = fleet.members().values();
-        let members = members
-            .filter(|member| member.join.service == self.service && fleet.is_candidate(member));
+        let members = members.filter(|member| {
+            member.join.service == self.service && pending_zones.is_candidate(fleet, member)
+        });
         let candidate = |member: &cluster::Member| Candidate {
             slots: member.join.slots,
             vm: member.join.vm.clone(),
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cluster::Fleet;
+use cluster::PendingZones;
 use ids::Fence;
 use ids::Unit;
 use membership::Announcement;
@@ -23,6 +24,8 @@
     pub(crate) is_informed: bool,
     /// Whether all of the log has been read, so that a route or key that the configuration lacks is not in force.
     pub(crate) is_up_to_date: bool,
+    /// States of zones that operators have declared and that the log does not hold yet.
+    pub(crate) pending_zones: Arc<PendingZones>,
     /// Time by which requests that are dispatched now must have ended, or `None` if the upstream enforces that itself.
     pub(crate) request_deadline: Option<Duration>,
     /// Units whose requests this process may dispatch, with their fences.
