Start nothing in an evacuated zone after the bound

Cause: nothing knew the bound. Entries and planners follow an evacuation, but the home, the last place before the upstream, looked at unit, lease and drain only and started requests for as long as it served the unit: late moves, long queues and entries that are behind all led to late starts, and the only owner of a key served on for ever. The home stops 0.5 s before limits.evacuation_timeout (template: bounds.evacuate), counted from the earliest time at which the order can have been written, and refuses what waits and what comes as not run (zone-out). A process that starts in the zone starts nothing, one that reads that the zone has returned serves at once. A request that was lost on an idle connection is not sent again either.

--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -24,6 +24,7 @@
 use crate::OwnedUnits;
 use crate::PendingAppends;
 use crate::Phase;
+use crate::ReadTimes;
 use crate::Schedule;
 use crate::Status;
 use crate::Upstream;
@@ -38,6 +39,7 @@
 pub struct Agent {
     pub(crate) appends: PendingAppends,
     pub(crate) cfg: AgentSettings,
+    pub(crate) declaration_reads: ReadTimes,
     pub(crate) declarations: OperatorDeclarations,
     pub(crate) handovers: BTreeMap<Unit, String>,
     pub(crate) is_stopped: bool,
@@ -46,11 +48,14 @@
     pub(crate) lease: Lease,
     pub(crate) loads: LoadView,
     pub(crate) log: LogState,
+    pub(crate) log_reads: ReadTimes,
     pub(crate) overdue_reads: OverdueReads,
     pub(crate) owned_units: OwnedUnits,
     pub(crate) rejoin_backoff: Duration,
     pub(crate) schedule: Schedule,
     pub(crate) sequence: u64,
+    /// Time from which no request is started, `None` while the zone of this process is in service.
+    pub(crate) starts_until: Option<Duration>,
     pub(crate) state: MemberState,
     pub(crate) stop_deadline: Option<Duration>,
     pub(crate) upstream: Upstream,
@@ -65,6 +70,7 @@
         Self {
             appends: PendingAppends::new(cfg.seed, cfg.vm.clone()),
             cfg,
+            declaration_reads: ReadTimes::default(),
             declarations: OperatorDeclarations::default(),
             handovers: BTreeMap::new(),
             is_stopped: false,
@@ -73,11 +79,13 @@
             lease: Lease::new(lease),
             loads: LoadView::default(),
             log: LogState::new(log_wait),
+            log_reads: ReadTimes::default(),
             overdue_reads: OverdueReads::default(),
             owned_units: OwnedUnits::default(),
             rejoin_backoff: REJOIN_BACKOFF,
             schedule: Schedule::default(),
             sequence: 0,
+            starts_until: None,
             state: MemberState::Absent(Absent {
                 not_before: Duration::ZERO,
             }),
@@ -93,6 +101,7 @@
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         self.apply_event(now, event, &mut actions);
+        self.update_evacuation(now);
         self.advance(now, &mut actions);
         self.report_changes(now, &mut actions);
         actions
@@ -108,6 +117,10 @@
                 self.upstream.record_clock_sample(now, &instance, clock_ms);
             }
             Event::Declared(declarations) => self.set_declarations(now, declarations),
+            Event::DeclarationsRead { has_waited } => {
+                self.declaration_reads.record(now, has_waited);
+                self.declaration_reads.complete(now);
+            }
             Event::Drained { units } => self.owned_units.finish_drain(&units),
             Event::GrantAnswered(answer) => self.upstream.handle_grant_answer(now, &answer),
             Event::GrantFailed { sequence } => self.upstream.handle_grant_failure(now, sequence),
@@ -117,7 +130,10 @@
             Event::HeartbeatAnswered(answer) => self.handle_heartbeat_answer(now, &answer, actions),
             Event::HotKeys { loads } => self.key_loads = loads,
             Event::LogFailed => self.log.read_failed(),
-            Event::LogIdle => self.log.read_succeeded(now, None),
+            Event::LogIdle => {
+                self.log.read_succeeded(now, None);
+                self.complete_log_read(now);
+            }
             Event::LogRestored { generation } => self.handle_restore(now, generation, actions),
             Event::PeerLoads { loads } => self.loads.peer_loads.extend(loads),
             Event::PeerRecords { next, records, .. } => {
@@ -125,8 +141,11 @@
                 self.log.pull_succeeded(now, next);
             }
             Event::Records { next, records } => {
+                // After a failed read, the next one does not wait.
+                self.log_reads.record(now, !self.log.is_failing());
                 self.apply_records(now, &records, actions);
                 self.log.read_succeeded(now, Some(next));
+                self.complete_log_read(now);
             }
             Event::RecordsExpired { first } => self.log.records_expired(first),
             Event::Stop => {
--- a/crates/membership/src/agent_log.rs
+++ b/crates/membership/src/agent_log.rs
@@ -58,6 +58,13 @@
         }
     }
 
+    /// Records that the log was read to its end, if it was.
+    pub(crate) fn complete_log_read(&mut self, now: Duration) {
+        if self.log.is_healthy(now) {
+            self.log_reads.complete(now);
+        }
+    }
+
     fn handle_own_record(
         &mut self,
         now: Duration,
--- a/crates/membership/src/agent_settings.rs
+++ b/crates/membership/src/agent_settings.rs
@@ -13,6 +13,9 @@
 /// Settings that a process has before it reads the log.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AgentSettings {
+    /// Time after which nothing is started any more in an availability zone that was taken out of service.
+    #[serde(default = "default_evacuation_timeout")]
+    pub evacuation_timeout: Duration,
     /// Duration of a lease of this member.
     #[serde(default = "default_lease")]
     pub lease: Duration,
@@ -45,6 +48,10 @@
     Duration::from_millis(1_500)
 }
 
+fn default_evacuation_timeout() -> Duration {
+    Duration::from_secs(5)
+}
+
 fn default_stop_timeout() -> Duration {
     Duration::from_secs(20)
 }
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -44,6 +44,11 @@
     },
     /// The current declarations of operators outside the log.
     Declared(OperatorDeclarations),
+    /// All declarations of operators outside the log were read. Changes follow as [`Event::Declared`].
+    DeclarationsRead {
+        /// Whether the read waited for a change.
+        has_waited: bool,
+    },
     /// No request runs or will run on units that a `Drain` named.
     Drained {
         /// The units.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -31,6 +31,7 @@
 //! - A request is dispatched only if its unit is in [`Agent::serving_units`] and the time is strictly
 //!   before [`Agent::lease_until`], both checked immediately before the dispatch.
 //!   [`Agent::request_deadline`] bounds requests on an upstream that does not check grants.
+//! - Nothing is dispatched from [`Agent::starts_until`] on, which is checked immediately before the dispatch.
 //! - Nothing is dispatched unless [`Agent::is_informed`]. Pulls are answered only while
 //!   [`Agent::can_answer_pulls`].
 //!
@@ -46,6 +47,7 @@
 mod agent;
 mod agent_check_in;
 mod agent_declarations;
+mod agent_evacuation;
 mod agent_lifecycle;
 mod agent_log;
 mod agent_moves;
@@ -82,6 +84,7 @@
 mod pending_appends;
 mod phase;
 mod read_pacing;
+mod read_times;
 mod replay_step;
 mod schedule;
 mod status;
@@ -142,6 +145,7 @@
 pub(crate) use overdue_reads::OverdueReads;
 pub(crate) use owned_units::OwnedUnits;
 pub(crate) use pending_appends::PendingAppends;
+pub(crate) use read_times::ReadTimes;
 pub(crate) use schedule::Schedule;
 pub(crate) use suspected_member::SuspectedMember;
 pub(crate) use unit_state::UnitState;
--- a/crates/membership/src/log_state.rs
+++ b/crates/membership/src/log_state.rs
@@ -182,6 +182,11 @@
         self.is_failing = true;
     }
 
+    /// Reports whether the last read of the log failed.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.is_failing
+    }
+
     /// Reports whether the log answers and all of it has been read.
     pub(crate) fn is_healthy(&self, now: Duration) -> bool {
         let is_recent = |read| now <= read + self.read_wait + LOG_SILENCE_TIMEOUT;
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -128,6 +128,10 @@
 /// Divisor of an owner's number of units that gives the budget of units that it moves at a time to balance load.
 pub(crate) const MOVE_BUDGET_DIVISOR: usize = 16;
 
+/// Time before the end of an evacuation from which nothing is started in the zone, for requests on their way and for the
+/// differences of clocks.
+pub(crate) const EVACUATION_MARGIN: Duration = Duration::from_millis(500);
+
 /// Maximum number of units that a member that stops or is taken out moves at a time.
 pub(crate) const EVACUATION_BUDGET: usize = 256;
 
--- a/crates/membership/tests/model/node.rs
+++ b/crates/membership/tests/model/node.rs
@@ -134,6 +134,7 @@
 
 pub(crate) fn settings(index: usize, peer: SocketAddr, seed: u64) -> AgentSettings {
     AgentSettings {
+        evacuation_timeout: Duration::from_secs(5),
         lease: cluster::LEASE,
         load_tolerance: None,
         log_wait: Duration::from_millis(1_500),
--- a/crates/membership/tests/polled/process.rs
+++ b/crates/membership/tests/polled/process.rs
@@ -37,6 +37,7 @@
     pub(crate) fn new() -> Self {
         let peer: SocketAddr = "10.0.0.1:7000".parse().unwrap();
         let agent = Agent::new(AgentSettings {
+            evacuation_timeout: Duration::from_secs(5),
             lease: LEASE,
             load_tolerance: None,
             log_wait: Duration::from_secs(10),
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -12,6 +12,7 @@
 /// Returns the agent of a process that has just started.
 pub(crate) fn agent() -> Agent {
     Agent::new(AgentSettings {
+        evacuation_timeout: Duration::from_secs(5),
         lease: LEASE,
         load_tolerance: None,
         log_wait: LOG_WAIT,
--- a/crates/policy/src/reason.rs
+++ b/crates/policy/src/reason.rs
@@ -81,6 +81,8 @@
     UpstreamCrashed = "upstream-crashed",
     /// The upstream did not answer.
     UpstreamSilent = "upstream-silent",
+    /// The zone of the home is out of service.
+    ZoneOut = "zone-out",
 }
 
 impl Reason {
@@ -113,7 +115,8 @@
             | Self::Unconfigured
             | Self::Uninformed
             | Self::UpstreamCrashed
-            | Self::UpstreamSilent => false,
+            | Self::UpstreamSilent
+            | Self::ZoneOut => false,
         }
     }
 }
--- a/crates/policy/src/retry_policy.rs
+++ b/crates/policy/src/retry_policy.rs
@@ -28,8 +28,8 @@
 /// Decides whether a request that has been sent `attempts` times is retried.
 ///
 /// A request that did not run may be retried, and one with unknown outcome only if it is idempotent.
-/// Retries after [`Reason::NotOwner`], [`Reason::Stopping`] or a refusal by a full home don't use the
-/// budget, but count as attempts. An entry never retries a request that was running while an upstream
+/// Retries after [`Reason::NotOwner`], [`Reason::Stopping`], [`Reason::ZoneOut`] or a refusal by a full home don't use
+/// the budget, but count as attempts. An entry never retries a request that was running while an upstream
 /// crashed, since the request may have caused the crash.
 pub fn decide_retry(
     now: Duration,
@@ -58,7 +58,7 @@
 /// Such a refusal cost no upstream any work: it is part of a planned change, or the home was full.
 fn is_budget_exempt(reason: Reason, outcome: Outcome) -> bool {
     match reason {
-        Reason::NotOwner | Reason::Stopping => true,
+        Reason::NotOwner | Reason::Stopping | Reason::ZoneOut => true,
         Reason::Overloaded => outcome == Outcome::NotRun,
         _ => false,
     }
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -384,6 +384,7 @@
             pending_zones,
             request_deadline: agent.request_deadline(),
             serving,
+            starts_until: agent.starts_until(),
             status,
             upstream,
         });
--- a/crates/router/src/entry/keyed_router.rs
+++ b/crates/router/src/entry/keyed_router.rs
@@ -43,13 +43,14 @@
         let queue_deadline = clock.now() + Duration::from_millis(dispatch.queue_ms);
         let retry_until = deadline.min(queue_deadline);
         let mut retry_delay = INITIAL_RETRY_DELAY;
-        let mut stopping = None;
+        let mut leaving = None;
         loop {
             let owner = self.find_owner(&dispatch);
-            let reason = match owner {
-                // A home that refuses a request because it stops would refuse it again, or end while it is being sent.
-                Some(target) if stopping == Some(target.grant.clone()) => Reason::Stopping,
-                Some(target) => match self.attempt(admitted, &target, &mut dispatch).await {
+            let reason = match (owner, &leaving) {
+                // A home that refuses a request because it stops or is out of service would refuse it again, or end while it is
+                // being sent.
+                (Some(target), Some((grant, reason))) if target.grant == *grant => *reason,
+                (Some(target), _) => match self.attempt(admitted, &target, &mut dispatch).await {
                     AttemptResult::Answered(answer) => return Ok(answer),
                     AttemptResult::NotRun(returned, statement) => {
                         admitted = returned;
@@ -58,14 +59,14 @@
                             let delay = delay.max(statement.retry_after().unwrap_or_default());
                             return Err(admitted.refuse(statement.reason(), Some(delay)));
                         }
-                        if statement.reason() == Reason::Stopping {
-                            stopping = Some(target.grant);
+                        if matches!(statement.reason(), Reason::Stopping | Reason::ZoneOut) {
+                            leaving = Some((target.grant, statement.reason()));
                         }
                         statement.reason()
                     }
                     AttemptResult::Refused(refusal) => return Err(refusal),
                 },
-                None => Reason::NoOwner,
+                (None, _) => Reason::NoOwner,
             };
             let now = clock.now();
             if now + retry_delay >= retry_until {
@@ -140,5 +141,6 @@
                 | Reason::OwnerUnreachable
                 | Reason::Stopping
                 | Reason::UpstreamSilent
+                | Reason::ZoneOut
         )
 }
--- a/crates/router/src/entry/responses.rs
+++ b/crates/router/src/entry/responses.rs
@@ -188,7 +188,8 @@
         | Reason::Shed
         | Reason::Stopping
         | Reason::Unconfigured
-        | Reason::Uninformed => StatusCode::SERVICE_UNAVAILABLE,
+        | Reason::Uninformed
+        | Reason::ZoneOut => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
@@ -245,5 +246,6 @@
         Reason::UpstreamSilent => {
             "the upstream gave no whole answer: find out whether the request ran before you send it again"
         }
+        Reason::ZoneOut => "the zone of the upstream is out of service: send the request again",
     }
 }
--- a/crates/router/src/environment/declaration_sink.rs
+++ b/crates/router/src/environment/declaration_sink.rs
@@ -35,10 +35,13 @@
         self.shared.record_invalid_declarations(problems);
     }
 
-    /// Records that operator declarations can be read.
-    pub fn report_readable(&self) {
+    /// Records that all operator declarations were read. Changes are passed on afterwards. `has_waited` tells whether the
+    /// read waited for a change, so that its answer was sent because of one or because of none in time.
+    pub fn report_read(&self, has_waited: bool) {
         self.shared
             .record_dependency_answer(Dependency::Operators, "");
+        self.control
+            .send_event(Event::DeclarationsRead { has_waited });
     }
 
     /// Records that operator declarations cannot be read.
--- a/crates/router/src/home/answer_reports.rs
+++ b/crates/router/src/home/answer_reports.rs
@@ -158,7 +158,11 @@
         }
     }
 
-    fn repeat_request(&self) {
-        self.record_extra_request();
+    fn repeat_request(&self) -> bool {
+        let is_open = self.shared.view().is_zone_open(self.shared.clock.now());
+        if is_open {
+            self.record_extra_request();
+        }
+        is_open
     }
 }
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -146,13 +146,13 @@
         let mut body = ByteReservation::new(Arc::clone(&self.body_bytes));
         let max_bytes = usize::try_from(self.shared.limits.home_body_bytes);
         let is_within = body.add_and_check(dispatch.body.len(), max_bytes.unwrap_or(usize::MAX));
-        let may_start = self.may_start(&dispatch);
+        let refusal = self.refusal_reason(&dispatch);
         let mut execution = Execution::new(Arc::clone(self), dispatch, body);
         if !is_within {
             return execution.refuse(Reason::Overloaded);
         }
-        if !may_start {
-            return execution.refuse(Reason::Stopping);
+        if let Some(reason) = refusal {
+            return execution.refuse(reason);
         }
         if !outlives_caller {
             return execution.run().await;
@@ -163,6 +163,15 @@
         }
     }
 
+    /// Returns the reason why a request may not start in view of a graceful stop or of the state of the zone, if there is one.
+    fn refusal_reason(&self, dispatch: &Dispatch) -> Option<Reason> {
+        if !self.may_start(dispatch) {
+            return Some(Reason::Stopping);
+        }
+        let is_open = self.shared.view().is_zone_open(self.shared.clock.now());
+        (!is_open).then_some(Reason::ZoneOut)
+    }
+
     /// Reports whether a request may start in view of a graceful stop. One without a key can go to another home at once.
     fn may_start(&self, dispatch: &Dispatch) -> bool {
         let now = self.shared.clock.now();
--- a/crates/router/src/home/queue_maintenance.rs
+++ b/crates/router/src/home/queue_maintenance.rs
@@ -33,6 +33,11 @@
                     refuse(queued, Reason::NotOwner);
                 }
             }
+            if !view.is_zone_open(now) {
+                for queued in state.queue.take_matching(&|_| true) {
+                    refuse(queued, Reason::ZoneOut);
+                }
+            }
             state.tick(now);
             for queued in state.queue.take_expired(now) {
                 refuse_expired(now, queued);
--- a/crates/router/src/home/request_starter.rs
+++ b/crates/router/src/home/request_starter.rs
@@ -111,6 +111,9 @@
         if self.state.is_drain_time_over(self.now) {
             return Err(Reason::Stopping);
         }
+        if !self.view.is_zone_open(self.now) {
+            return Err(Reason::ZoneOut);
+        }
         let fleet = &self.view.fleet;
         let tenant_key = waiting.tenant_key.as_ref();
         if tenant_key.is_some_and(|prefix| !fleet.accepts_key(prefix, waiting.entry_offset)) {
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -83,6 +83,7 @@
         let secret = settings.secret()?;
         let seed = rand::random();
         let agent = Agent::new(AgentSettings {
+            evacuation_timeout: settings.limits.evacuation_timeout,
             lease: settings.lease(),
             load_tolerance: settings.policy.load_tolerance(),
             log_wait: settings.log.read_wait(),
--- a/crates/router/src/settings/limits.rs
+++ b/crates/router/src/settings/limits.rs
@@ -23,6 +23,10 @@
     pub default_deadline_ms: u64,
     /// Time for which an upstream still gets requests after it has announced its stop, in milliseconds.
     pub drain_ms: u64,
+    /// Time after which nothing is started any more in an availability zone that operators have taken out of service, as text
+    /// with its unit, such as `5s`.
+    #[serde(deserialize_with = "duration_text::deserialize")]
+    pub evacuation_timeout: Duration,
     /// Maximum size of the head of a caller's request, in bytes.
     pub header_bytes: u64,
     /// Time that a caller has to send the head of a request, in milliseconds.
@@ -61,6 +65,7 @@
             caller_connections: 1000,
             default_deadline_ms: 5_000,
             drain_ms: 1_500,
+            evacuation_timeout: Duration::from_secs(5),
             header_bytes: 32 << 10,
             header_timeout_ms: 5_000,
             home_body_bytes: 32 << 20,
@@ -96,6 +101,12 @@
                 self.max_deadline_ms,
             ),
             ("limits.drain_ms", self.drain_ms, 0, 60_000),
+            (
+                "limits.evacuation_timeout",
+                milliseconds(self.evacuation_timeout),
+                1_000,
+                600_000,
+            ),
             ("limits.header_bytes", self.header_bytes, 8 << 10, 256 << 10),
             (
                 "limits.header_timeout_ms",
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -83,6 +83,7 @@
             pending_zones: Arc::default(),
             request_deadline: None,
             serving: Arc::default(),
+            starts_until: None,
             status: Arc::new(agent.status(Duration::ZERO)),
             upstream: None,
         };
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -30,6 +30,8 @@
     pub(crate) request_deadline: Option<Duration>,
     /// Units whose requests this process may dispatch, with their fences.
     pub(crate) serving: Arc<BTreeMap<Unit, Fence>>,
+    /// Time from which no request is started on the upstream, since its zone is out of service; `None` while it is in service.
+    pub(crate) starts_until: Option<Duration>,
     /// State of the membership, for operators.
     pub(crate) status: Arc<Status>,
     /// Announcement of the accepted upstream.
@@ -37,6 +39,11 @@
 }
 
 impl View {
+    /// Reports whether requests may be started on the upstream in view of the state of its zone.
+    pub(crate) fn is_zone_open(&self, now: Duration) -> bool {
+        self.starts_until.is_none_or(|until| now < until)
+    }
+
     /// Returns the reason to refuse a request with, in place of one that states that something is not declared while this
     /// process cannot know what has been declared in the meantime.
     pub(crate) fn known_reason(&self, reason: Reason) -> Reason {
--- a/crates/skylarkctl/src/explain/cause.rs
+++ b/crates/skylarkctl/src/explain/cause.rs
@@ -106,6 +106,10 @@
             let vm = vm.map_or("nobody", String::as_str);
             format!("its key was not served at that time; {entry} knew {vm} as its owner")
         }
+        "zone-out" => {
+            let vm = home.map_or("its home", |home| &home.vm);
+            format!("{vm} is in a zone that is out of service, and its key had not moved yet")
+        }
         "uninformed" => format!("{entry} could not know the configuration in force"),
         other => format!("{other} at {entry}"),
     };
--- a/crates/upstream/src/answer_observer.rs
+++ b/crates/upstream/src/answer_observer.rs
@@ -14,6 +14,6 @@
     /// Called when an answer is complete.
     fn end_answer(&self, head: &AnswerHead);
 
-    /// Called when a request is sent once more on another connection.
-    fn repeat_request(&self);
+    /// Called before a request is sent once more on another connection. Returns whether it may be sent.
+    fn repeat_request(&self) -> bool;
 }
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -103,7 +103,9 @@
         let retry_copy = self.idempotent.then(|| req.clone());
         match (self.run_once(req, self.max_idle_time).await, retry_copy) {
             (Err(ExchangeError::LostOnIdleConnection(reason)), Some(retry_copy)) => {
-                self.client.repeat_request();
+                if !self.client.repeat_request() {
+                    return Err(DispatchError::ConnectionLost(reason));
+                }
                 let retried = self.run_once(retry_copy, Duration::ZERO).await;
                 retried.map_err(|error| match error.into_dispatch_error() {
                     error if error.is_not_run() => DispatchError::ConnectionLost(reason),
--- a/crates/upstream/src/upstream_client.rs
+++ b/crates/upstream/src/upstream_client.rs
@@ -218,11 +218,10 @@
         }
     }
 
-    /// Passes the repetition of a request to the observer.
-    pub(crate) fn repeat_request(&self) {
-        if let Some(observer) = &self.shared.observer {
-            observer.repeat_request();
-        }
+    /// Passes the repetition of a request to the observer, and reports whether the request may be sent.
+    pub(crate) fn repeat_request(&self) -> bool {
+        let observer = self.shared.observer.as_ref();
+        observer.is_none_or(|observer| observer.repeat_request())
     }
 
     pub(crate) fn pool(&self) -> &ConnectionPool {
--- a/crates/upstream/tests/upstream/statements.rs
+++ b/crates/upstream/tests/upstream/statements.rs
@@ -12,6 +12,7 @@
 use upstream::RateLimitStatement;
 use upstream::UpstreamClient;
 
+use crate::fake_upstream::FakeUpstream;
 use crate::fake_upstream::distant_deadline;
 use crate::fake_upstream::read_request;
 use crate::fake_upstream::request;
@@ -43,8 +44,9 @@
         self.push("ends", head);
     }
 
-    fn repeat_request(&self) {
+    fn repeat_request(&self) -> bool {
         self.lines.lock().unwrap().push("repeated".to_owned());
+        false
     }
 }
 
@@ -161,3 +163,21 @@
     let names: Vec<_> = answer.headers.keys().map(|name| name.as_str()).collect();
     assert_eq!(names, ["kept"]);
 }
+
+// EVAC: a request that was lost on an idle connection was sent again without asking whether it still may.
+#[tokio::test]
+async fn a_request_that_may_not_be_repeated_is_sent_once() {
+    let fake = FakeUpstream::start().await;
+    let observer = Arc::new(RecordedAnswers::default());
+    let recorded: Arc<dyn AnswerObserver> = Arc::clone(&observer) as _;
+    let settings = ClientSettings::default();
+    let client = UpstreamClient::with_observer(fake.address, settings, recorded);
+    for _ in 0..2 {
+        let req = request("/once-a-connection");
+        let _ = client.dispatch(req, distant_deadline()).await;
+    }
+    let lines = observer.lines.lock().unwrap().clone();
+    assert_eq!(lines.last().unwrap(), "repeated");
+    let connections: Vec<_> = fake.received().iter().map(|req| req.connection).collect();
+    assert_eq!(connections, [1, 1]);
+}
