--- a/crates/router/src/check_in_service.rs
+++ b/crates/router/src/check_in_service.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -52,6 +54,8 @@
     pub(crate) control: ControlSender,
     pub(crate) environment: Arc<dyn Environment>,
     pub(crate) home: Arc<Home>,
+    /// Problem of the last invalid message.
+    pub(crate) last_problem: Mutex<String>,
     pub(crate) next_id: AtomicU64,
     pub(crate) shared: Arc<Shared>,
 }
@@ -64,7 +68,10 @@
                 self.environment.build_response(None)
             }
             Ok(UpstreamMessage::CheckIn(check_in)) => self.handle_check_in(check_in).await,
-            Err(problem) => json_response(StatusCode::BAD_REQUEST, &json!({ "error": problem })),
+            Err(problem) => {
+                self.report_invalid(&problem);
+                json_response(StatusCode::BAD_REQUEST, &json!({ "error": problem }))
+            }
         }
     }
 
@@ -77,6 +84,17 @@
 }
 
 impl CheckInService {
+    /// Logs the problem of an invalid message, unless the last one had the same.
+    fn report_invalid(&self, problem: &str) {
+        self.shared.metrics.count_event("check-in", "invalid");
+        let last = self.last_problem.lock();
+        let mut last = last.unwrap_or_else(PoisonError::into_inner);
+        if *last != problem {
+            log::warn!("invalid check-in, which has no effect: {problem}");
+            problem.clone_into(&mut last);
+        }
+    }
+
     /// Records that the upstream has left or is about to leave. Only the accepted one gets requests.
     fn record_leave(&self, instance: &str) {
         let view = self.shared.view();
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -251,6 +251,7 @@
             control: self.control.clone(),
             environment: Arc::clone(environment),
             home: Arc::clone(&self.home),
+            last_problem: Mutex::default(),
             next_id: AtomicU64::new(0),
             shared: Arc::clone(&self.shared),
         }
