--- a/crates/cluster/tests/odd_records.rs
+++ b/crates/cluster/tests/odd_records.rs
@@ -44,11 +44,11 @@
             unit: unit.clone(),
         })
         .collect();
-    let services = units.iter().filter_map(|owned| match &owned.unit {
+    let mut services = units.iter().filter_map(|owned| match &owned.unit {
         Unit::Shard { service, .. } => Some(service.clone()),
         Unit::Bucket { .. } | Unit::Pinned { .. } => None,
     });
-    let service = services.last().expect("the member owns a shard");
+    let service = services.next().expect("the member owns a shard");
     vec![
         Body::Zone {
             base: 0,
