Never begin a request whose call was abandoned before it was handled

GONE: work for callers that had left. Cause: a home polled the cancellation of a call and the request in random order, so that a call that had been abandoned while it waited to be handled began about every second time, and could reach the upstream. The cancellation is polled first now.

Evidence: a_call_that_was_abandoned_before_it_is_handled_does_not_begin began an abandoned call with the former order.

--- a/crates/router/src/links/peer_service.rs
+++ b/crates/router/src/links/peer_service.rs
@@ -68,9 +68,9 @@
     }
 
     async fn dispatch(self: Arc<Self>, dispatch: Dispatch, responder: Responder) {
-        let outcome = tokio::select! {
-            outcome = self.home.run(dispatch) => outcome,
-            () = responder.cancelled() => return,
+        let run = self.home.run(dispatch);
+        let Some(outcome) = responder.run_until_cancelled(run).await else {
+            return;
         };
         if let Err(error) = responder.reply(outcome) {
             log::debug!("answer not sent: {error}");
--- a/crates/wire/src/responder.rs
+++ b/crates/wire/src/responder.rs
@@ -36,6 +36,16 @@
         self.cancelled.cancelled().await;
     }
 
+    /// Runs a future until the caller cancels the call, and returns `None` in that case. The future of a call that was cancelled
+    /// before does not begin.
+    pub async fn run_until_cancelled<F: Future>(&self, future: F) -> Option<F::Output> {
+        tokio::select! {
+            biased;
+            () = self.cancelled() => None,
+            output = future => Some(output),
+        }
+    }
+
     /// Queues the reply. Records that do not fit in the frame are omitted.
     ///
     /// # Errors
--- a/crates/wire/tests/wire/link.rs
+++ b/crates/wire/tests/wire/link.rs
@@ -393,3 +393,28 @@
     assert_eq!(received.request_id, "kept");
     assert_eq!(received.body, vec![7; LONG_BODY_BYTES]);
 }
+
+// GONE: a request whose caller had left while its call waited to be handled was started all the same.
+#[tokio::test]
+async fn a_call_that_was_abandoned_before_it_is_handled_does_not_begin() {
+    let [(link, _incoming), (_right, mut incoming)] = open(&LinkSettings::default()).await;
+    for _ in 0..32 {
+        let calling = link.dispatch(dispatch("abandoned"), LONG_TIMEOUT);
+        let mut calling = Box::pin(calling);
+        let (_, responder) = tokio::select! {
+            outcome = &mut calling => panic!("{outcome:?}"),
+            call = next_call(&mut incoming) => call,
+        };
+        drop(calling);
+        responder.cancelled().await;
+        let mut has_begun = false;
+        let outcome = responder
+            .run_until_cancelled(async { has_begun = true })
+            .await;
+        assert_eq!((outcome, has_begun), (None, false));
+        assert!(matches!(
+            incoming.recv().await,
+            Some(IncomingMessage::Notice(Notice::Cancel(_)))
+        ));
+    }
+}
