Cancel a request whose caller left although its link is lost

GONE: work for callers that had left. Cause: an entry tells a home that a caller has left over the link of the call, and over that alone. A link that has gone silent loses the notice, a closed link is no cancellation for the home, and an entry that queries a home for an outcome told it nothing when its caller left: the request waited, started and ran to its end for nobody. Once the link of a request without outcome is closed, its cancellation is sent again over a new one, until the deadline of the request, and it reaches a request that runs, not only one that waits.

Evidence: request_whose_caller_leaves_after_its_link_stalled_is_cancelled: the request ran its 20 s to the end without the cancellation.

--- a/crates/router/src/entry/home_client.rs
+++ b/crates/router/src/entry/home_client.rs
@@ -17,6 +17,8 @@
 
 use crate::entry::Acknowledgments;
 use crate::entry::outcome_query::OutcomeQuery;
+use crate::entry::request_cancellation::CancelOnDrop;
+use crate::entry::request_cancellation::RequestCancellation;
 use crate::entry::target::Target;
 use crate::home::Home;
 use crate::home::clear_derived_fields;
@@ -76,9 +78,18 @@
         clear_derived_fields(&mut dispatch);
         let request_id = dispatch.request_id.clone();
         let needs_acknowledgment = !dispatch.idempotent;
+        let cancellation = CancelOnDrop::new(RequestCancellation {
+            address: target.address,
+            deadline,
+            link: link.clone(),
+            links: Arc::clone(&self.links),
+            request_id: request_id.clone(),
+            shared: Arc::clone(&self.shared),
+            vm: target.vm.clone(),
+        });
         let remaining = deadline.saturating_sub(self.shared.clock.now());
         let sent = self.shared.clock.now();
-        match link.dispatch(dispatch, remaining + HOME_GRACE).await {
+        let reply = match link.dispatch(dispatch, remaining + HOME_GRACE).await {
             Ok(outcome) => {
                 let elapsed = self.shared.clock.now().saturating_sub(sent);
                 self.shared.metrics.record_duration("peer", elapsed);
@@ -94,7 +105,9 @@
                 self.query_outcome(link, target, &request_id, deadline)
                     .await
             }
-        }
+        };
+        cancellation.disarm();
+        reply
     }
 
     /// Queries the home for the outcome of a request whose answer did not arrive.
--- a/crates/router/src/entry/mod.rs
+++ b/crates/router/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod keyless_router;
 mod keyless_service;
 mod outcome_query;
+mod request_cancellation;
 mod request_tracker;
 mod responses;
 mod retry_after;
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -323,6 +323,9 @@
         if self.is_finished {
             return;
         }
+        let stage = if self.is_started { "upstream" } else { "queue" };
+        let metrics = &self.home.shared.metrics;
+        metrics.count_event("caller-left", stage);
         let arrived = ArrivedRequest::new(self.dispatch.request_id.clone());
         let statement = if self.is_started {
             arrived.start().refuse(Reason::DeadlinePassed)
--- a/crates/router/src/links/peer_service.rs
+++ b/crates/router/src/links/peer_service.rs
@@ -22,6 +22,7 @@
 use crate::handover::IncomingHandovers;
 use crate::home::Home;
 use crate::limits::Buckets;
+use crate::links::CancellableCalls;
 use crate::shared::Shared;
 
 /// Largest number of records in one reply to a pull.
@@ -31,6 +32,7 @@
 pub(crate) struct PeerService {
     pub(crate) handovers: Arc<IncomingHandovers>,
     pub(crate) buckets: Arc<Buckets>,
+    pub(crate) calls: Arc<CancellableCalls>,
     pub(crate) home: Arc<Home>,
     pub(crate) shared: Arc<Shared>,
 }
@@ -68,8 +70,14 @@
     }
 
     async fn dispatch(self: Arc<Self>, dispatch: Dispatch, responder: Responder) {
-        let run = self.home.run(dispatch);
-        let Some(outcome) = responder.run_until_cancelled(run).await else {
+        let call = self.calls.register(&dispatch.request_id);
+        let run = responder.run_until_cancelled(self.home.run(dispatch));
+        let outcome = tokio::select! {
+            biased;
+            () = call.cancelled() => return,
+            outcome = run => outcome,
+        };
+        let Some(outcome) = outcome else {
             return;
         };
         if let Err(error) = responder.reply(outcome) {
@@ -84,7 +92,10 @@
     fn handle_notice(&self, notice: Notice) {
         match notice {
             Notice::Acknowledge(acknowledge) => self.home.acknowledge(&acknowledge.request_ids),
-            Notice::Cancel(cancel) => self.home.cancel(&cancel.request_id),
+            Notice::Cancel(cancel) => {
+                self.calls.cancel(&cancel.request_id);
+                self.home.cancel(&cancel.request_id);
+            }
             Notice::LoadReport(_) => {}
         }
     }
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -108,6 +108,7 @@
         let home = Arc::new(home);
         let buckets = Arc::new(Buckets::new(Arc::clone(&handovers), Arc::clone(&shared)));
         let service = Arc::new(PeerService {
+            calls: Arc::default(),
             handovers: Arc::clone(&handovers),
             buckets: Arc::clone(&buckets),
             home: Arc::clone(&home),
--- a/crates/standin/tests/fleet.rs
+++ b/crates/standin/tests/fleet.rs
@@ -325,3 +325,33 @@
     fleet.network().stall_open_connections();
     wait_until_key_is_served(&fleet, entry);
 }
+
+// GONE: the notice that a caller had left was lost with the link, and its request ran on to its end.
+#[test]
+fn request_whose_caller_leaves_after_its_link_stalled_is_cancelled() {
+    let (fleet, owner) = start_fleet_with_network_faults();
+    let entry = entry_other_than(&fleet, &owner);
+    wait_until_key_is_served(&fleet, entry);
+    let earlier = fleet.executions().unwrap().len();
+    let mut caller = TcpStream::connect(entry).unwrap();
+    let request = "GET /ordering/orders HTTP/1.1\r\nhost: fleet\r\nauthorization: Bearer key-collective\r\n\
+        skylark-key: stall-7\r\nskylark-deadline-ms: 25000\r\nx-work-ms: 20000\r\n\r\n";
+    caller.write_all(request.as_bytes()).unwrap();
+    let outcome = || {
+        let mut executions = fleet.executions().unwrap();
+        executions.sort_by_key(|execution| execution.start_us);
+        executions.get(earlier).map(|execution| execution.outcome)
+    };
+    let wait_for = |what: &str, is_reached: &dyn Fn(Option<ExecutionOutcome>) -> bool| {
+        fleet
+            .wait_until(what, TIMEOUT, || is_reached(outcome()))
+            .unwrap();
+    };
+    wait_for("the request did not start", &|outcome| outcome.is_some());
+    fleet.network().stall_open_connections();
+    drop(caller);
+    wait_for("the request did not end", &|outcome| {
+        outcome != Some(ExecutionOutcome::Running)
+    });
+    assert_eq!(outcome(), Some(ExecutionOutcome::Cancelled));
+}
