Read the log with the shortest pause while it lacks declarations

Cause: a member publishes a declaration after 150 ms a turn unless it has read that another has, and pauses up to 1 s between reads; every member reads each record, and those that are behind pull it from others across zones. While the log lacks a declaration, a member pauses for the shortest time only.

--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Reports whether the log lacks what operators have declared, as far as this process has read it.
+    pub fn lacks_declarations(&self) -> bool {
+        self.schedule.unpublished_since.is_some()
+    }
+
     /// Returns the time of this process's turn to publish declarations that the log has lacked since `since`.
     fn publication_time(&self, since: Duration) -> Duration {
         let fleet = self.log.fleet();
--- a/crates/membership/tests/read_pacing.rs
+++ b/crates/membership/tests/read_pacing.rs
@@ -24,7 +24,7 @@
     let mut now = Duration::ZERO;
     while now < PERIOD {
         reads += members;
-        now += pacing.pause(members, SETTLED).max(APPEND_INTERVAL);
+        now += pacing.pause(members, SETTLED, false).max(APPEND_INTERVAL);
     }
     reads as f64 / PERIOD.as_secs_f64()
 }
@@ -44,15 +44,24 @@
 
 #[test]
 fn small_fleets_keep_the_shortest_pause_and_large_ones_the_longest() {
-    assert_eq!(PACING.pause(0, SETTLED), Duration::from_millis(250));
-    assert_eq!(PACING.pause(11, SETTLED), Duration::from_millis(250));
-    assert_eq!(PACING.pause(40, SETTLED), Duration::from_millis(500));
-    assert_eq!(PACING.pause(195, SETTLED), Duration::from_secs(1));
-    assert_eq!(PACING.pause(usize::MAX, SETTLED), Duration::from_secs(1));
+    assert_eq!(PACING.pause(0, SETTLED, false), Duration::from_millis(250));
+    assert_eq!(PACING.pause(11, SETTLED, false), Duration::from_millis(250));
+    assert_eq!(PACING.pause(40, SETTLED, false), Duration::from_millis(500));
+    assert_eq!(PACING.pause(195, SETTLED, false), Duration::from_secs(1));
+    assert_eq!(
+        PACING.pause(usize::MAX, SETTLED, false),
+        Duration::from_secs(1)
+    );
 }
 
 #[test]
 fn a_process_that_has_just_started_pauses_for_the_shortest_time() {
-    let pause = PACING.pause(195, Duration::from_secs(2));
+    let pause = PACING.pause(195, Duration::from_secs(2), false);
+    assert_eq!(pause, Duration::from_millis(250));
+}
+
+#[test]
+fn a_process_pauses_for_the_shortest_time_while_the_log_lacks_declarations() {
+    let pause = PACING.pause(195, SETTLED, true);
     assert_eq!(pause, Duration::from_millis(250));
 }
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -381,6 +381,7 @@
             fleet,
             is_informed: agent.is_informed(now),
             is_up_to_date: agent.is_up_to_date(now),
+            lacks_declarations: agent.lacks_declarations(),
             pending_zones,
             request_deadline: agent.request_deadline(),
             serving,
--- a/crates/router/src/control/log_reader.rs
+++ b/crates/router/src/control/log_reader.rs
@@ -24,6 +24,9 @@
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Longest time between two checks whether a pause is to end.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Maximum number of records of one read.
 const MAX_READ_RECORDS: usize = 1_000;
 
@@ -96,7 +99,7 @@
                     if is_followed && (is_at_end || is_empty) {
                         self.enter_next_generation(from, generation);
                     } else if is_at_end {
-                        thread::sleep(self.pause(generation));
+                        self.sleep_for_pause(generation);
                     }
                     wait = self.wait;
                 }
@@ -109,15 +112,30 @@
         }
     }
 
+    /// Pauses after all of the log has been read. The pause depends on the present state, which may change meanwhile.
+    fn sleep_for_pause(&self, generation: Generation) {
+        let started = self.shared.clock.now();
+        loop {
+            let elapsed = self.shared.clock.now().saturating_sub(started);
+            let left = self.pause(generation).saturating_sub(elapsed);
+            if left.is_zero() {
+                return;
+            }
+            thread::sleep(left.min(PAUSE_CHECK_INTERVAL));
+        }
+    }
+
     /// Returns the pause after all of the log has been read, the shortest one until the state with which `generation` begins
     /// is known.
     fn pause(&self, generation: Generation) -> Duration {
-        let fleet = &self.shared.view().fleet;
+        let view = self.shared.view();
+        let fleet = &view.fleet;
         let uptime = match generation_of(fleet.next_offset()) < generation {
             true => Duration::ZERO,
             false => self.shared.clock.now(),
         };
-        self.pacing.pause(fleet.members().len(), uptime)
+        let members = fleet.members().len();
+        self.pacing.pause(members, uptime, view.lacks_declarations)
     }
 
     /// Reports whether a generation begins with a complete state, as far as one read tells.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -80,6 +80,7 @@
             fleet: Arc::new(Fleet::default()),
             is_informed: false,
             is_up_to_date: false,
+            lacks_declarations: false,
             pending_zones: Arc::default(),
             request_deadline: None,
             serving: Arc::default(),
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -24,6 +24,8 @@
     pub(crate) is_informed: bool,
     /// Whether all of the log has been read, so that a route or key that the configuration lacks is not in force.
     pub(crate) is_up_to_date: bool,
+    /// Whether the log lacks what operators have declared.
+    pub(crate) lacks_declarations: bool,
     /// States of zones that operators have declared and that the log does not hold yet.
     pub(crate) pending_zones: Arc<PendingZones>,
     /// Time by which requests that are dispatched now must have ended, or `None` if the upstream enforces that itself.
