--- a/crates/wire/tests/wire/link.rs
+++ b/crates/wire/tests/wire/link.rs
@@ -40,7 +40,7 @@
 /// Number of times that the tasks of a link run before a call is dropped. Not all parts of a long body are written by then.
 const YIELDS: usize = 2;
 
-async fn next_call(incoming: &mut IncomingMessages) -> (Call, Responder) {
+pub(crate) async fn next_call(incoming: &mut IncomingMessages) -> (Call, Responder) {
     match incoming.recv().await {
         Some(IncomingMessage::Call { call, responder }) => (call, responder),
         other => panic!("{other:?}"),
@@ -138,21 +138,6 @@
     serve.await.unwrap();
 }
 
-#[tokio::test]
-async fn dropped_dispatch_is_cancelled_at_the_peer() {
-    let [(left, _incoming), (_right, mut incoming)] = open(&LinkSettings::default()).await;
-    let responder = tokio::select! {
-        outcome = left.dispatch(dispatch("id-1"), LONG_TIMEOUT) => panic!("{outcome:?}"),
-        (_, responder) = next_call(&mut incoming) => responder,
-    };
-    responder.cancelled().await;
-    let notice = incoming.recv().await;
-    let expected = Notice::Cancel(Cancel {
-        request_id: "id-1".to_owned(),
-    });
-    assert!(matches!(notice, Some(IncomingMessage::Notice(notice)) if notice == expected));
-}
-
 #[tokio::test]
 async fn notices_arrive_in_order() {
     let [(left, _incoming), (_right, mut incoming)] = open(&LinkSettings::default()).await;
@@ -393,28 +378,3 @@
     assert_eq!(received.request_id, "kept");
     assert_eq!(received.body, vec![7; LONG_BODY_BYTES]);
 }
-
-// GONE: a request whose caller had left while its call waited to be handled was started all the same.
-#[tokio::test]
-async fn a_call_that_was_abandoned_before_it_is_handled_does_not_begin() {
-    let [(link, _incoming), (_right, mut incoming)] = open(&LinkSettings::default()).await;
-    for _ in 0..32 {
-        let calling = link.dispatch(dispatch("abandoned"), LONG_TIMEOUT);
-        let mut calling = Box::pin(calling);
-        let (_, responder) = tokio::select! {
-            outcome = &mut calling => panic!("{outcome:?}"),
-            call = next_call(&mut incoming) => call,
-        };
-        drop(calling);
-        responder.cancelled().await;
-        let mut has_begun = false;
-        let outcome = responder
-            .run_until_cancelled(async { has_begun = true })
-            .await;
-        assert_eq!((outcome, has_begun), (None, false));
-        assert!(matches!(
-            incoming.recv().await,
-            Some(IncomingMessage::Notice(Notice::Cancel(_)))
-        ));
-    }
-}
--- a/crates/wire/tests/wire/main.rs
+++ b/crates/wire/tests/wire/main.rs
@@ -1,6 +1,7 @@
 //! Tests of links and datagrams.
 
 mod authentication;
+mod cancellations;
 mod datagrams;
 mod forwarder;
 mod link;
