Write records that are longer than the log accepts in parts

Cause: a member copies the manifest into the fleet's log as one record, about twice as long as the operators' record. The store refuses records above 262,144 bytes (400, "records can't be read, or are too long"). The stand-in of the store accepted any length.

All parts up to 2 MiB are one append, which the store writes as a whole or not at all. skylarkctl writes documents the same way.

Conclusion: the length of a record bounds no declaration any more. A refusal for good still blocks the declarations that follow; that is the next change.

--- a/crates/cluster/src/body.rs
+++ b/crates/cluster/src/body.rs
@@ -81,6 +81,16 @@
         /// Units, with the fences under which the current owner holds them.
         units: Vec<UnitFence>,
     },
+    /// Holds one part of a record that is longer than the log service accepts. The record takes effect at the offset of the
+    /// part that completes it.
+    Part {
+        /// Index of the part, from 0.
+        part: u32,
+        /// Number of parts.
+        parts: u32,
+        /// Part of the text of the record.
+        data: String,
+    },
     /// Makes a hot key a unit of its own, owned by the owner of its shard.
     ///
     /// The owner already serves the shard. Requests for the key under the fence of the shard and requests under the
--- a/crates/cluster/src/continuation.rs
+++ b/crates/cluster/src/continuation.rs
@@ -4,6 +4,7 @@
 use ids::first_offset;
 
 use crate::Fleet;
+use crate::RecordAssembler;
 use crate::snapshot_progress::SnapshotProgress;
 
 impl Fleet {
@@ -15,6 +16,7 @@
         let next_offset = first_offset(generation);
         let shift = next_offset.saturating_sub(self.next_offset);
         Self {
+            incomplete: RecordAssembler::default(),
             next_offset,
             progress: SnapshotProgress::default(),
             recent: self.recent.shifted(shift),
--- a/crates/cluster/src/fleet.rs
+++ b/crates/cluster/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::Member;
 use crate::Ownership;
 use crate::QuarantineEntry;
+use crate::RecordAssembler;
 use crate::configuration::Configuration;
 use crate::quarantine::Quarantine;
 use crate::rank::hash;
@@ -34,6 +35,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Fleet {
     pub(crate) configuration: Configuration,
+    pub(crate) incomplete: RecordAssembler,
     pub(crate) next_offset: Offset,
     pub(crate) progress: SnapshotProgress,
     pub(crate) quarantine: Quarantine,
--- a/crates/cluster/src/fold.rs
+++ b/crates/cluster/src/fold.rs
@@ -22,9 +22,15 @@
             Ok(record) => record,
             Err(error) => return Outcome::Rejected(format!("invalid record: {error}")),
         };
-        if !self.recent.insert(offset, &record.id) {
+        if self.recent.is_repeated(offset, &record.id) {
             return Outcome::Repeated;
         }
+        let record = match self.incomplete.add(offset, record) {
+            Ok(Some(record)) => record,
+            Ok(None) => return Outcome::Incomplete,
+            Err(reason) => return Outcome::Rejected(reason),
+        };
+        self.recent.insert(offset, &record.id);
         match self.apply_body(offset, &record.writer, record.body) {
             Ok(changes) => Outcome::Applied(changes),
             Err(reason) => Outcome::Rejected(reason),
@@ -54,6 +60,7 @@
                 let to = (&to, to_incarnation);
                 self.move_units(offset, (&from, incarnation), to, &units, &handovers)
             }
+            Body::Part { .. } => Err("a record in parts is a part itself".to_owned()),
             Body::Pin {
                 vm,
                 incarnation,
--- a/crates/cluster/src/recent_records.rs
+++ b/crates/cluster/src/recent_records.rs
@@ -30,15 +30,17 @@
 const HASH_DIGITS: usize = 16;
 
 impl RecentRecords {
-    /// Adds the id of a record, and returns whether it is new.
-    pub(crate) fn insert(&mut self, offset: Offset, id: &str) -> bool {
+    /// Reports whether the record at `offset` was applied before under the same id.
+    pub(crate) fn is_repeated(&mut self, offset: Offset, id: &str) -> bool {
         self.evict_before(offset.saturating_sub(DEDUPLICATION_WINDOW));
+        self.hashes.contains(&hash(id))
+    }
+
+    /// Adds the id of a record that is not repeated.
+    pub(crate) fn insert(&mut self, offset: Offset, id: &str) {
         let hash = hash(id);
-        if !self.hashes.insert(hash) {
-            return false;
-        }
+        self.hashes.insert(hash);
         self.order.push_back((offset, hash));
-        true
     }
 
     fn evict_before(&mut self, offset: Offset) {
--- a/crates/cluster/src/snapshot.rs
+++ b/crates/cluster/src/snapshot.rs
@@ -14,6 +14,7 @@
 use crate::Fleet;
 use crate::Join;
 use crate::Ownership;
+use crate::RecordAssembler;
 use crate::SnapshotError;
 use crate::configuration::Configuration;
 use crate::quarantine::Quarantine;
@@ -22,6 +23,7 @@
 use crate::roster::Roster;
 use crate::snapshot_progress::SnapshotProgress;
 use crate::supervision::Supervision;
+use crate::text_parts::split_json_text;
 use crate::unit_set::UnitSet;
 use crate::units::Units;
 
@@ -40,6 +42,8 @@
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     handovers: BTreeMap<Unit, String>,
     holdings: BTreeMap<VmId, Vec<Holding>>,
+    #[serde(default, skip_serializing_if = "RecordAssembler::is_empty")]
+    incomplete: RecordAssembler,
     members: Vec<MemberState>,
     next: Offset,
     progress: SnapshotProgress,
@@ -66,6 +70,7 @@
             configuration: self.configuration.clone(),
             handovers: handovers(&self.units),
             holdings: group_holdings(&self.units),
+            incomplete: self.incomplete.clone(),
             members: self.member_states(),
             next: self.next_offset,
             progress: self.progress.clone(),
@@ -76,7 +81,7 @@
         let text = serde_json::to_string(&snapshot)
             .expect("all map keys of a snapshot serialise as JSON strings");
         let checksum = blake3::hash(text.as_bytes()).to_hex();
-        split_into_parts(&format!("{checksum}{text}"))
+        split_json_text(&format!("{checksum}{text}"), MAX_PART_BYTES)
     }
 
     /// Returns the records that write the state to the log.
@@ -115,6 +120,7 @@
         }
         Ok(Self {
             configuration: snapshot.configuration,
+            incomplete: snapshot.incomplete,
             next_offset: snapshot.next,
             progress: snapshot.progress,
             quarantine: snapshot.quarantine,
@@ -214,21 +220,3 @@
     }
     Ok(units)
 }
-
-/// Splits a text into parts that each fit into a record, where JSON escapes quotes and backslashes as two bytes.
-fn split_into_parts(text: &str) -> Vec<String> {
-    let mut parts = Vec::new();
-    let mut part = String::new();
-    let mut bytes = 0;
-    for character in text.chars() {
-        let escaped = character.len_utf8() + usize::from(matches!(character, '"' | '\\'));
-        if bytes + escaped > MAX_PART_BYTES {
-            parts.push(std::mem::take(&mut part));
-            bytes = 0;
-        }
-        part.push(character);
-        bytes += escaped;
-    }
-    parts.push(part);
-    parts
-}
--- a/crates/cluster/src/snapshot_reader.rs
+++ b/crates/cluster/src/snapshot_reader.rs
@@ -7,6 +7,7 @@
 use crate::Body;
 use crate::Fleet;
 use crate::Record;
+use crate::RecordAssembler;
 use crate::SnapshotError;
 
 /// Maximum number of incomplete snapshots whose parts are kept.
@@ -19,6 +20,7 @@
 /// itself.
 #[derive(Debug, Default)]
 pub struct SnapshotReader {
+    assembler: RecordAssembler,
     parts: BTreeMap<SnapshotKey, BTreeMap<u32, String>>,
 }
 
@@ -26,15 +28,18 @@
 type SnapshotKey = (Offset, String, u32);
 
 impl SnapshotReader {
-    /// Adds a record. If it completes a snapshot, returns the restored state.
+    /// Adds the record at `offset`. If it completes a snapshot, returns the restored state.
     ///
     /// # Errors
     ///
     /// Fails if the completed snapshot is damaged or has an unknown format.
-    pub fn add(&mut self, bytes: &[u8]) -> Result<Option<Fleet>, SnapshotError> {
+    pub fn add(&mut self, offset: Offset, bytes: &[u8]) -> Result<Option<Fleet>, SnapshotError> {
         let Ok(record) = serde_json::from_slice::<Record>(bytes) else {
             return Ok(None);
         };
+        let Ok(Some(record)) = self.assembler.add(offset, record) else {
+            return Ok(None);
+        };
         let Body::SnapshotChunk {
             through,
             part,
--- a/crates/cluster/tests/continuation.rs
+++ b/crates/cluster/tests/continuation.rs
@@ -29,10 +29,9 @@
         log.append(body);
     }
     let mut reader = SnapshotReader::default();
-    let mut found = log
-        .records
-        .iter()
-        .filter_map(|text| reader.add(text).unwrap());
+    let mut found = (1..)
+        .zip(&log.records)
+        .filter_map(|(offset, text)| reader.add(offset, text).unwrap());
     found.next().expect("the snapshot is complete")
 }
 
--- a/crates/cluster/tests/fold.rs
+++ b/crates/cluster/tests/fold.rs
@@ -234,9 +234,9 @@
     }
     log.leave("vm-000");
     let mut reader = SnapshotReader::default();
-    let mut records = log.records.iter().skip(first as usize - 1);
+    let mut records = (1..).zip(&log.records).skip(first as usize - 1);
     let mut fleet = records
-        .find_map(|record| reader.add(record).expect("the snapshot is whole"))
+        .find_map(|(offset, record)| reader.add(offset, record).expect("the snapshot is whole"))
         .expect("the log holds a snapshot");
     assert_eq!(fleet.next_offset(), first);
     log.apply_from(&mut fleet, first);
--- a/crates/cluster/tests/odd_records.rs
+++ b/crates/cluster/tests/odd_records.rs
@@ -89,6 +89,11 @@
             parts: 1,
             through: 3,
         },
+        Body::Part {
+            data: "x".to_owned(),
+            part: 0,
+            parts: 2,
+        },
         Body::Pin {
             incarnation,
             key: "k".to_owned(),
@@ -212,9 +217,12 @@
         let outcome = fleet.apply(next + 1, &joined);
         assert!(matches!(outcome, Outcome::Applied(_)), "{outcome:?}");
         let mut reader = SnapshotReader::default();
-        let restored = fleet.snapshot_bodies().into_iter().filter_map(|body| {
+        let bodies = (next + 2..).zip(fleet.snapshot_bodies());
+        let restored = bodies.filter_map(|(offset, body)| {
             let chunk = log.record("chunk", body);
-            reader.add(&chunk).expect("the snapshot can be read")
+            reader
+                .add(offset, &chunk)
+                .expect("the snapshot can be read")
         });
         assert_eq!(restored.last().as_ref(), Some(&fleet), "{:.300}", text);
     }
--- a/crates/membership/src/agent_log.rs
+++ b/crates/membership/src/agent_log.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cluster::Body;
+use cluster::Outcome;
 use cluster::Record;
 use ids::Offset;
 use ids::Unit;
@@ -41,11 +42,14 @@
             if *offset == first_offset(generation_of(*offset)) {
                 self.handle_restore(now, generation_of(*offset), actions);
             }
-            let Some(applied) = self.log.apply(*offset, text, actions) else {
+            let Some(outcome) = self.log.apply(*offset, text, actions) else {
                 continue;
             };
             any_applied = true;
-            if let Some(record) = self.appends.read_back(text) {
+            if outcome != Outcome::Incomplete
+                && let Some(record) = self.appends.read_back(text)
+            {
+                let applied = matches!(outcome, Outcome::Applied(_));
                 self.handle_own_record(now, *offset, applied, &record, actions);
             }
         }
--- a/crates/membership/src/log_state.rs
+++ b/crates/membership/src/log_state.rs
@@ -51,28 +51,25 @@
         }
     }
 
-    /// Applies the record at `offset`. Returns whether the record took effect, or `None` if it is not
-    /// the next one or the search for a snapshot continues.
+    /// Applies the record at `offset`. Returns the outcome, or `None` if the record is not the next one or the search for a
+    /// snapshot continues.
     pub(crate) fn apply(
         &mut self,
         offset: Offset,
         text: &str,
         actions: &mut Vec<Action>,
-    ) -> Option<bool> {
+    ) -> Option<Outcome> {
         if offset != self.next_offset() {
             return None;
         }
         if self.snapshot_search.is_some() {
             return self.search_snapshot(offset, text, actions);
         }
-        match self.fleet.apply(offset, text.as_bytes()) {
-            Outcome::Applied(_) => Some(true),
-            Outcome::Repeated => Some(false),
-            Outcome::Rejected(reason) => {
-                actions.push(skipped(offset, reason));
-                Some(false)
-            }
+        let outcome = self.fleet.apply(offset, text.as_bytes());
+        if let Outcome::Rejected(reason) = &outcome {
+            actions.push(skipped(offset, reason.clone()));
         }
+        Some(outcome)
     }
 
     fn search_snapshot(
@@ -80,11 +77,11 @@
         offset: Offset,
         text: &str,
         actions: &mut Vec<Action>,
-    ) -> Option<bool> {
+    ) -> Option<Outcome> {
         let search = self.snapshot_search.as_mut()?;
         search.next = offset + 1;
         search.records.push((offset, text.to_owned()));
-        let fleet = match search.reader.add(text.as_bytes()) {
+        let fleet = match search.reader.add(offset, text.as_bytes()) {
             Ok(found) => found?,
             Err(error) => {
                 actions.push(skipped(offset, error.to_string()));
@@ -102,7 +99,7 @@
                 self.apply(offset, &text, actions);
             }
         }
-        Some(true)
+        Some(Outcome::Applied(Vec::new()))
     }
 
     /// Records that the log keeps only records from `first` on, and starts the search for a snapshot.
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -1,6 +1,7 @@
 //! Client of the platform's append-only log.
 
 mod append_error;
+mod append_limits;
 mod batch;
 mod connection;
 mod http_calls;
@@ -14,6 +15,7 @@
 mod waiting_calls;
 
 pub use append_error::AppendError;
+pub use append_limits::AppendLimits;
 pub use batch::Batch;
 pub use http_calls::failed_before_sending;
 pub use http_calls::read_body;
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -9,6 +9,7 @@
 use cluster::Body;
 use cluster::FleetCopy;
 use cluster::Record;
+use cluster::RecordAssembler;
 use ids::Offset;
 use ids::RecordId;
 use ids::Unit;
@@ -76,6 +77,7 @@
 
 /// Passes events to the membership agent and performs the actions that it returns.
 pub(crate) struct ControlLoop {
+    assembler: RecordAssembler,
     pending_check_ins: BTreeMap<u64, oneshot::Sender<CheckInAnswer>>,
     /// Units that are being handed over, with the start time of each handover.
     draining: BTreeMap<Unit, Duration>,
@@ -89,6 +91,7 @@
 impl ControlLoop {
     pub(crate) fn new(parts: ControlParts) -> Self {
         Self {
+            assembler: RecordAssembler::default(),
             pending_check_ins: BTreeMap::new(),
             draining: BTreeMap::new(),
             fleet_copy: FleetCopy::default(),
@@ -264,7 +267,10 @@
         for (offset, body) in records {
             self.parts.shared.records.push(*offset, body);
             self.parts.cursor.fetch_max(offset + 1, Ordering::SeqCst);
-            if let Ok(record) = serde_json::from_str::<Record>(body) {
+            let Ok(record) = serde_json::from_str::<Record>(body) else {
+                continue;
+            };
+            if let Ok(Some(record)) = self.assembler.add(*offset, record) {
                 self.observe_record(*offset, &record);
             }
         }
--- a/crates/router/src/control/log_reader.rs
+++ b/crates/router/src/control/log_reader.rs
@@ -145,7 +145,12 @@
             Ok(batch) => {
                 let mut reader = SnapshotReader::default();
                 let mut records = batch.records.iter();
-                records.any(|record| matches!(reader.add(record.body.as_bytes()), Ok(Some(_))))
+                records.any(|record| {
+                    matches!(
+                        reader.add(record.offset, record.body.as_bytes()),
+                        Ok(Some(_))
+                    )
+                })
             }
             // Records expire long after the first state was written.
             Err(ReadError::Expired { .. }) => true,
--- a/crates/router/src/control/log_writer.rs
+++ b/crates/router/src/control/log_writer.rs
@@ -9,6 +9,7 @@
 
 use cluster::Record;
 use membership::Event;
+use records::AppendLimits;
 use records::Log;
 use telemetry::Dependency;
 
@@ -36,12 +37,13 @@
     /// Returns an error when the system cannot start a thread.
     pub(crate) fn start(
         log: Arc<dyn Log>,
+        limits: AppendLimits,
         shared: Arc<Shared>,
         control: ControlSender,
     ) -> std::io::Result<Self> {
         let (tx, rx) = sync_channel(MAX_QUEUED_RECORDS);
         let builder = thread::Builder::new().name("log-writer".to_owned());
-        builder.spawn(move || run(&*log, &shared, &control, &rx))?;
+        builder.spawn(move || run(&*log, limits, &shared, &control, &rx))?;
         Ok(Self { tx })
     }
 
@@ -54,26 +56,51 @@
 }
 
 /// Appends queued records in batches, so that many records take little longer than one when the log service is slow.
-fn run(log: &dyn Log, shared: &Shared, control: &ControlSender, rx: &Receiver<Record>) {
+fn run(
+    log: &dyn Log,
+    limits: AppendLimits,
+    shared: &Shared,
+    control: &ControlSender,
+    rx: &Receiver<Record>,
+) {
     while let Ok(first) = rx.recv() {
         let records = iter::once(first).chain(rx.try_iter());
         let mut batch = Vec::new();
         for record in records.take(MAX_QUEUED_RECORDS) {
-            let Ok(bytes) = serde_json::to_vec(&record) else {
+            let Ok(encoded) = record.encode(limits.record_bytes) else {
                 log::error!("record {} cannot be serialised and is dropped", record.id);
                 continue;
             };
-            if bytes.len() > MAX_BATCHED_RECORD_BYTES {
+            if encoded.iter().map(Vec::len).sum::<usize>() > MAX_BATCHED_RECORD_BYTES {
                 append_batch(log, shared, control, &std::mem::take(&mut batch));
-                append_batch(log, shared, control, &[bytes]);
+                for call in split_by_size(&encoded, limits.call_bytes) {
+                    append_batch(log, shared, control, call);
+                }
             } else {
-                batch.push(bytes);
+                batch.extend(encoded);
             }
         }
         append_batch(log, shared, control, &batch);
     }
 }
 
+/// Divides records into calls of less than `max_bytes` each.
+fn split_by_size(records: &[Vec<u8>], max_bytes: usize) -> Vec<&[Vec<u8>]> {
+    let mut calls = Vec::new();
+    let mut start = 0;
+    let mut bytes = 0;
+    for (index, record) in records.iter().enumerate() {
+        if index > start && bytes + record.len() >= max_bytes {
+            calls.push(&records[start..index]);
+            start = index;
+            bytes = 0;
+        }
+        bytes += record.len();
+    }
+    calls.push(&records[start..]);
+    calls
+}
+
 fn append_batch(log: &dyn Log, shared: &Shared, control: &ControlSender, records: &[Vec<u8>]) {
     if records.is_empty() {
         return;
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -160,6 +160,7 @@
         )?;
         let writer = LogWriter::start(
             Arc::clone(&log),
+            settings.log.append_limits(),
             Arc::clone(&self.shared),
             self.control.clone(),
         )?;
--- a/crates/skylarkctl/src/confirmed_append.rs
+++ b/crates/skylarkctl/src/confirmed_append.rs
@@ -9,6 +9,7 @@
 use ids::Offset;
 use ids::RecordId;
 use records::AppendError;
+use records::AppendLimits;
 use uuid::Uuid;
 
 use crate::failure::Failure;
@@ -26,7 +27,8 @@
     id: RecordId,
     /// Reason that the record may be in the log although it was not read back, or `None` if it certainly is not in it.
     unconfirmed_reason: Option<String>,
-    text: String,
+    /// Records of the log that hold the record: one, or its parts.
+    encoded: Vec<Vec<u8>>,
 }
 
 impl<'f, 'l> ConfirmedAppend<'f, 'l> {
@@ -41,14 +43,15 @@
             id: Uuid::new_v4().to_string(),
             writer: writer.to_owned(),
         };
-        let text = serde_json::to_string(&record)
+        let encoded = record
+            .encode(AppendLimits::default().record_bytes)
             .expect("every map of a record has keys that JSON can hold");
         Self {
             deadline: Instant::now() + timeout,
             folded,
             id: record.id,
             unconfirmed_reason: None,
-            text,
+            encoded,
         }
     }
 
@@ -76,18 +79,21 @@
     /// Returns an error when the record would have no effect on the log as read so far.
     fn check_applicable(&self) -> Result<(), Failure> {
         let mut trial = self.folded.fleet.clone();
-        let next = trial.next_offset().max(1);
-        match trial.apply(next, self.text.as_bytes()) {
-            Outcome::Applied(_) | Outcome::Repeated => Ok(()),
-            Outcome::Rejected(reason) => Err(Failure::Refused(reason)),
+        for encoded in &self.encoded {
+            let next = trial.next_offset().max(1);
+            if let Outcome::Rejected(reason) = trial.apply(next, encoded) {
+                return Err(Failure::Refused(reason));
+            }
         }
+        Ok(())
     }
 
     /// Appends the record once, and returns the reason if the log refused it.
     fn append(&mut self) -> Option<String> {
-        match self.folded.log().append(self.text.as_bytes()) {
-            Ok(offset) => {
-                self.unconfirmed_reason = Some(format!("at offset {offset}, which cannot be read"));
+        match self.folded.log().append_all(&self.encoded) {
+            Ok(()) => {
+                let reason = "the log accepted it, but it cannot be read";
+                self.unconfirmed_reason = Some(reason.to_owned());
                 None
             }
             Err(AppendError::Refused(reason)) => Some(reason),
@@ -123,7 +129,7 @@
 
 fn applied_offset(found: FoundRecord) -> Result<Offset, Failure> {
     match found.outcome {
-        Outcome::Applied(_) | Outcome::Repeated => Ok(found.offset),
+        Outcome::Applied(_) | Outcome::Incomplete | Outcome::Repeated => Ok(found.offset),
         Outcome::Rejected(reason) => Err(Failure::Refused(reason)),
     }
 }
--- a/crates/skylarkctl/src/folded_log.rs
+++ b/crates/skylarkctl/src/folded_log.rs
@@ -92,11 +92,13 @@
     ) -> Option<FoundRecord> {
         let outcome = self.fleet.apply(offset, body.as_bytes());
         let record: Record = serde_json::from_str(body).ok()?;
-        if matches!(outcome, Outcome::Applied(_)) && matches!(record.body, Body::Publish { .. }) {
+        let is_publication = matches!(record.body, Body::Part { .. } | Body::Publish { .. });
+        if is_publication && matches!(outcome, Outcome::Applied(_)) {
             self.publications.push((offset, record.writer));
         }
         let is_wanted = wanted == Some(&record.id);
-        (is_wanted && outcome != Outcome::Repeated).then_some(FoundRecord { offset, outcome })
+        let is_complete = !matches!(outcome, Outcome::Incomplete | Outcome::Repeated);
+        (is_wanted && is_complete).then_some(FoundRecord { offset, outcome })
     }
 }
 
@@ -107,7 +109,7 @@
     loop {
         let batch: Batch = log.read(next, MAX_READ_RECORDS, Duration::ZERO)?;
         for stored in &batch.records {
-            if let Some(fleet) = reader.add(stored.body.as_bytes())? {
+            if let Some(fleet) = reader.add(stored.offset, stored.body.as_bytes())? {
                 newest = Some(fleet);
             }
             next = stored.offset + 1;
