Give up records that the log never accepts

Cause: AppendError told only "retry later" and "unknown" apart, and the store's 400 counted as the first. The append was repeated each second for ever, and a member publishes nothing while a publication is pending. By reading: StoreLog repeats an append with a lost response before all others, also when the store never accepts it.

LogWriter finds the record in a batch that is the cause; the agent gives it up with one decision, append_given_up, a second later, so that what replaces it is not appended more often than a retry would be. A move whose earlier append may still be written stays pending, since its units must not be served until that is known. A later manifest or zone state replaces one that is pending; zones do not wait for manifests. skylarkctl says that the record is not accepted.

Conclusion: an append that cannot succeed holds up nothing. StoreLog's part has no test.

--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -25,6 +25,7 @@
 use crate::PendingAppends;
 use crate::Phase;
 use crate::ReadTimes;
+use crate::RejectedDeclarations;
 use crate::Schedule;
 use crate::Status;
 use crate::Upstream;
@@ -51,6 +52,8 @@
     pub(crate) log_reads: ReadTimes,
     pub(crate) overdue_reads: OverdueReads,
     pub(crate) owned_units: OwnedUnits,
+    /// Declarations that the log will never accept, until operators declare others.
+    pub(crate) rejected_declarations: RejectedDeclarations,
     pub(crate) rejoin_backoff: Duration,
     pub(crate) schedule: Schedule,
     pub(crate) sequence: u64,
@@ -82,6 +85,7 @@
             log_reads: ReadTimes::default(),
             overdue_reads: OverdueReads::default(),
             owned_units: OwnedUnits::default(),
+            rejected_declarations: RejectedDeclarations::default(),
             rejoin_backoff: REJOIN_BACKOFF,
             schedule: Schedule::default(),
             sequence: 0,
@@ -110,6 +114,7 @@
     fn apply_event(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Announced(announcement) => self.upstream.record_announcement(now, announcement),
+            Event::AppendRejected { id, reason } => self.handle_rejection(&id, reason, actions),
             Event::Appended => self.overdue_reads.record_append(self.appends.len()),
             Event::Capacities { capacities } => self.loads.capacities = capacities,
             Event::CheckedIn(check_in) => self.handle_check_in(now, &check_in, actions),
@@ -164,7 +169,9 @@
         let was_paused = self.schedule.record_tick(now);
         self.upstream.tick(now, was_paused);
         self.report_suspicions(now, was_paused, actions);
-        self.appends.retry_due(now, actions);
+        for record in self.appends.retry_due(now, actions) {
+            self.give_up(now, &record, actions);
+        }
         self.end_overdue_reads(now, actions);
         self.write_snapshot(now, actions);
         self.continue_log(now, actions);
@@ -196,6 +203,12 @@
         self.log.fleet()
     }
 
+    /// Returns the revision of the newest manifest that operators have declared, or 0 before the first.
+    pub fn declared_revision(&self) -> u64 {
+        let manifest = self.declarations.manifest.as_ref();
+        manifest.map_or(0, |manifest| manifest.revision)
+    }
+
     /// Returns the offset of the next log record to read.
     pub fn next_log_offset(&self) -> Offset {
         self.log.next_offset()
--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -25,24 +25,91 @@
         }
         if self.declarations != declarations {
             self.declarations = declarations;
+            self.rejected_declarations.zones.clear();
             self.schedule.unpublished_since = None;
         }
     }
 
     /// Publishes the declarations of operators to the log. Processes take turns, and only the first record takes effect.
     pub(crate) fn publish_declarations(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let is_pending = |body: &Body| matches!(body, Body::Publish { .. } | Body::Zone { .. });
-        if !self.log.is_healthy(now) || self.appends.any(is_pending) {
+        if !self.log.is_healthy(now) {
             return;
         }
-        let Some(body) = self.next_publication().or_else(|| self.next_zone(now)) else {
+        let revision = self.unpublished_revision();
+        let zones = self.unpublished_zones(now);
+        if revision.is_none() && zones.is_empty() {
             self.schedule.unpublished_since = None;
             return;
-        };
+        }
         let since = *self.schedule.unpublished_since.get_or_insert(now);
-        if now >= self.publication_time(since) {
-            self.appends.append(now, body, actions);
+        if now < self.publication_time(since) {
+            return;
+        }
+        if let Some(revision) = revision {
+            self.publish_manifest(now, revision, actions);
+        }
+        for (zone, out) in zones {
+            self.publish_zone(now, zone, out, actions);
+        }
+    }
+
+    /// Returns the revision of the declared manifest if the log lacks it and may accept it.
+    fn unpublished_revision(&self) -> Option<u64> {
+        let revision = self.declared_revision();
+        let published = self.log.fleet().revision();
+        (revision > published && revision != self.rejected_declarations.revision)
+            .then_some(revision)
+    }
+
+    /// Returns the zones whose declared states the log lacks and may accept.
+    fn unpublished_zones(&self, now: Duration) -> Vec<(ZoneId, bool)> {
+        if self.declarations.manifest.is_none() {
+            return Vec::new();
+        }
+        let pending = self.pending_zones(now);
+        let rejected = &self.rejected_declarations.zones;
+        let zones = pending
+            .iter()
+            .filter(|(zone, out)| rejected.get(*zone) != Some(out));
+        zones.map(|(zone, out)| (zone.clone(), out)).collect()
+    }
+
+    /// Appends the declared manifest, in place of an earlier one that is still pending.
+    fn publish_manifest(&mut self, now: Duration, revision: u64, actions: &mut Vec<Action>) {
+        let is_publication = |body: &Body| matches!(body, Body::Publish { .. });
+        let is_current = |body: &Body| matches!(body, Body::Publish { document: Document::Manifest(manifest), .. } if manifest.revision == revision);
+        if self.appends.any(is_current) {
+            return;
+        }
+        let Some(manifest) = self.declarations.manifest.clone() else {
+            return;
+        };
+        self.appends.drop_where(is_publication);
+        let body = Body::Publish {
+            base: self.log.fleet().plans_version(),
+            document: Document::Manifest(manifest),
+        };
+        self.appends.append(now, body, actions);
+    }
+
+    /// Appends the declared state of a zone, in place of an earlier one that is still pending.
+    fn publish_zone(&mut self, now: Duration, zone: ZoneId, out: bool, actions: &mut Vec<Action>) {
+        let pending_state = |body: &Body| match body {
+            Body::Zone { zone: of, out, .. } if *of == zone => Some(*out),
+            _ => None,
+        };
+        if self.appends.any(|body| pending_state(body) == Some(out)) {
+            return;
         }
+        self.appends
+            .drop_where(|body| pending_state(body).is_some());
+        let body = Body::Zone {
+            base: self.log.fleet().zone_version(&zone),
+            out,
+            position: self.declarations.position,
+            zone,
+        };
+        self.appends.append(now, body, actions);
     }
 
     /// Reports whether the log lacks what operators have declared, as far as this process has read it.
@@ -55,12 +122,8 @@
         let fleet = self.log.fleet();
         let members = fleet.members();
         let position = members.keys().position(|vm| *vm == self.cfg.vm);
-        let revision = self
-            .declarations
-            .manifest
-            .as_ref()
-            .map_or(0, |manifest| manifest.revision);
-        let first_turn = usize::try_from(revision).unwrap_or_default() % members.len().max(1);
+        let first_turn =
+            usize::try_from(self.declared_revision()).unwrap_or_default() % members.len().max(1);
         let position = position.unwrap_or(members.len());
         let turn = (position + first_turn) % members.len().max(1);
         let first_at = match fleet.revision() {
@@ -70,27 +133,6 @@
         first_at + DECLARATION_TURN_DELAY * u32::try_from(turn).unwrap_or(u32::MAX)
     }
 
-    fn next_publication(&self) -> Option<Body> {
-        let manifest = self.declarations.manifest.as_ref()?;
-        let fleet = self.log.fleet();
-        (manifest.revision > fleet.revision()).then(|| Body::Publish {
-            base: fleet.plans_version(),
-            document: Document::Manifest(manifest.clone()),
-        })
-    }
-
-    fn next_zone(&self, now: Duration) -> Option<Body> {
-        self.declarations.manifest.as_ref()?;
-        let pending = self.pending_zones(now);
-        let (zone, out) = pending.iter().next()?;
-        Some(Body::Zone {
-            base: self.log.fleet().zone_version(zone),
-            out,
-            position: self.declarations.position,
-            zone: zone.clone(),
-        })
-    }
-
     /// Returns the zones whose state operators have declared and that the log does not hold yet.
     pub fn pending_zones(&self, now: Duration) -> PendingZones {
         let fleet = self.log.fleet();
--- a/crates/membership/src/agent_restore.rs
+++ b/crates/membership/src/agent_restore.rs
@@ -27,7 +27,8 @@
         actions: &mut Vec<Action>,
     ) {
         if self.log.enter_generation(now, generation) {
-            self.appends.drop_snapshots();
+            self.appends
+                .drop_where(|body| matches!(body, Body::SnapshotChunk { .. }));
             actions.push(Action::LogDecision(Decision::LogRestored { generation }));
         }
     }
--- a/crates/membership/src/decision.rs
+++ b/crates/membership/src/decision.rs
@@ -17,6 +17,13 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "decision")]
 pub enum Decision {
+    /// The log will never accept a record of this process, which is given up.
+    AppendGivenUp {
+        /// Reason that the log states.
+        reason: String,
+        /// What the record was to change.
+        what: String,
+    },
     /// A new version of a document is in force.
     ConfigurationInForce {
         /// Offset of the plans in force.
@@ -120,6 +127,7 @@
     /// Returns the name of the kind of decision.
     pub fn kind(&self) -> &'static str {
         match self {
+            Self::AppendGivenUp { .. } => "append_given_up",
             Self::ConfigurationInForce { .. } => "configuration_in_force",
             Self::Evacuated { .. } => "evacuated",
             Self::Informed => "informed",
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -6,6 +6,7 @@
 
 use ids::Generation;
 use ids::Offset;
+use ids::RecordId;
 use ids::Unit;
 use ids::VmId;
 use serde::Deserialize;
@@ -25,6 +26,13 @@
 pub enum Event {
     /// The local upstream announced itself.
     Announced(Announcement),
+    /// The log will never accept a record of this process, which was not written.
+    AppendRejected {
+        /// Id of the record.
+        id: RecordId,
+        /// Reason that the log states.
+        reason: String,
+    },
     /// The log accepted records of this process.
     Appended,
     /// Capacities of the members of the service whose upstreams limit the rate of requests, in slots. Members that are not named
--- a/crates/membership/src/pending_appends.rs
+++ b/crates/membership/src/pending_appends.rs
@@ -24,6 +24,10 @@
 
 #[derive(Debug)]
 struct PendingAppend {
+    /// Whether the record was appended more than once, so that the outcome of an earlier append may be unknown.
+    is_repeated: bool,
+    /// Whether the log will never accept the record.
+    is_rejected: bool,
     retry_at: Duration,
     record: Record,
 }
@@ -52,9 +56,13 @@
         };
         let id = record.id.clone();
         actions.push(Action::Append(record.clone()));
-        let retry_at = now + APPEND_RETRY;
-        self.pending
-            .insert(id.clone(), PendingAppend { retry_at, record });
+        let pending = PendingAppend {
+            is_repeated: false,
+            is_rejected: false,
+            retry_at: now + APPEND_RETRY,
+            record,
+        };
+        self.pending.insert(id.clone(), pending);
         id
     }
 
@@ -81,14 +89,36 @@
         self.pending.remove(&id).map(|pending| pending.record)
     }
 
-    /// Repeats the appends whose retry time has come.
-    pub(crate) fn retry_due(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    /// Records that the log will never accept a record. Returns the record if that was not known.
+    ///
+    /// A move that was appended before may still be written, and its units must not be served until that is known. It stays
+    /// pending.
+    pub(crate) fn reject(&mut self, id: &str) -> Option<&Record> {
+        let pending = self.pending.get_mut(id)?;
+        let may_be_written = pending.is_repeated;
+        let is_unsafe = may_be_written && matches!(pending.record.body, Body::Move { .. });
+        if pending.is_rejected || is_unsafe {
+            return None;
+        }
+        pending.is_rejected = true;
+        Some(&pending.record)
+    }
+
+    /// Repeats the appends whose retry time has come, but removes and returns the records that the log will never accept.
+    ///
+    /// They stay pending until then, so that what takes their place is not appended more often than a retry would be.
+    pub(crate) fn retry_due(&mut self, now: Duration, actions: &mut Vec<Action>) -> Vec<Record> {
         for pending in self.pending.values_mut() {
-            if now >= pending.retry_at {
+            if now >= pending.retry_at && !pending.is_rejected {
+                pending.is_repeated = true;
                 pending.retry_at = now + APPEND_RETRY;
                 actions.push(Action::Append(pending.record.clone()));
             }
         }
+        let rejected = self.pending.extract_if(.., |_, pending| {
+            now >= pending.retry_at && pending.is_rejected
+        });
+        rejected.map(|(_, pending)| pending.record).collect()
     }
 
     /// Reports whether a pending record satisfies `predicate`.
@@ -97,11 +127,10 @@
         pending.any(|pending| predicate(&pending.record.body))
     }
 
-    /// Drops pending parts of snapshots.
-    pub(crate) fn drop_snapshots(&mut self) {
-        let is_part = |body: &Body| matches!(body, Body::SnapshotChunk { .. });
+    /// Drops pending records that satisfy `predicate`, which are not repeated any more but may still be written.
+    pub(crate) fn drop_where(&mut self, predicate: impl Fn(&Body) -> bool) {
         self.pending
-            .retain(|_, pending| !is_part(&pending.record.body));
+            .retain(|_, pending| !predicate(&pending.record.body));
     }
 
     /// Returns the number of pending records.
--- a/crates/records/src/http_log.rs
+++ b/crates/records/src/http_log.rs
@@ -98,10 +98,10 @@
             StatusCode::OK => read_json::<AppendResponse>(res)
                 .map(|appended| appended.offset)
                 .map_err(|error| AppendError::Unknown(format!("{address}: {error}"))),
-            status @ (StatusCode::BAD_REQUEST
-            | StatusCode::PAYLOAD_TOO_LARGE
-            | StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS) => {
+            status @ (StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE) => {
+                Err(AppendError::Unacceptable(format!("{address}: {status}")))
+            }
+            status @ (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {
                 Err(AppendError::Refused(format!("{address}: {status}")))
             }
             status => Err(AppendError::Unknown(format!("{address}: {status}"))),
@@ -152,7 +152,8 @@
                     return Ok(offset);
                 }
                 Err(AppendError::Refused(reason)) => refusals.push(reason),
-                Err(error) => {
+                Err(error @ AppendError::Unacceptable(_)) => return Err(error),
+                Err(error @ AppendError::Unknown(_)) => {
                     self.set_preferred(index + 1);
                     self.end_overdue_reads(Duration::ZERO);
                     return Err(error);
--- a/crates/records/src/memory_log.rs
+++ b/crates/records/src/memory_log.rs
@@ -103,7 +103,7 @@
             return Err(AppendError::Refused("down".to_owned()));
         }
         let body = String::from_utf8(record.to_vec())
-            .map_err(|error| AppendError::Refused(error.to_string()))?;
+            .map_err(|error| AppendError::Unacceptable(error.to_string()))?;
         let offset = state.next();
         state.records.push(body);
         self.changed.notify_all();
--- a/crates/records/tests/records/http_log.rs
+++ b/crates/records/tests/records/http_log.rs
@@ -23,6 +23,7 @@
     match client(&[address], timeout).append(b"{}") {
         Ok(offset) => format!("offset {offset}"),
         Err(AppendError::Refused(_)) => "refused".to_owned(),
+        Err(AppendError::Unacceptable(_)) => "unacceptable".to_owned(),
         Err(AppendError::Unknown(_)) => "unknown".to_owned(),
     }
 }
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -251,6 +251,10 @@
     /// Records the parts of an event that the agent does not keep.
     fn observe_event(&mut self, event: &Event) {
         match event {
+            Event::AppendRejected { id, .. } => {
+                // The record has no effect, and waiting for it any longer neither.
+                self.pending_appends.remove(id);
+            }
             Event::Announced(announcement) => {
                 self.parts.upstream.set_announcement(announcement);
             }
--- a/crates/router/src/control/control_telemetry.rs
+++ b/crates/router/src/control/control_telemetry.rs
@@ -32,6 +32,9 @@
         metrics.set_gauge("upstream_limited", u64::from(rate.is_some()));
         let millis = (rate.unwrap_or_default() * 1_000.0) as u64;
         metrics.set_gauge("upstream_limit_millis", millis);
+        let agent = &self.parts.agent;
+        metrics.set_gauge("revision_declared", agent.declared_revision());
+        metrics.set_gauge("revision_in_force", agent.fleet().revision());
         metrics.set_gauge("log_next", self.parts.agent.fleet().next_offset());
         metrics.set_gauge(
             "units_serving",
--- a/crates/router/src/control/log_writer.rs
+++ b/crates/router/src/control/log_writer.rs
@@ -8,7 +8,9 @@
 use std::thread;
 
 use cluster::Record;
+use ids::RecordId;
 use membership::Event;
+use records::AppendError;
 use records::AppendLimits;
 use records::Log;
 use telemetry::Dependency;
@@ -42,8 +44,14 @@
         control: ControlSender,
     ) -> std::io::Result<Self> {
         let (tx, rx) = sync_channel(MAX_QUEUED_RECORDS);
+        let append_loop = AppendLoop {
+            control,
+            limits,
+            log,
+            shared,
+        };
         let builder = thread::Builder::new().name("log-writer".to_owned());
-        builder.spawn(move || run(&*log, limits, &shared, &control, &rx))?;
+        builder.spawn(move || append_loop.run(&rx))?;
         Ok(Self { tx })
     }
 
@@ -55,32 +63,107 @@
     }
 }
 
-/// Appends queued records in batches, so that many records take little longer than one when the log service is slow.
-fn run(
-    log: &dyn Log,
+/// Appends records on the thread of its own.
+struct AppendLoop {
+    control: ControlSender,
     limits: AppendLimits,
-    shared: &Shared,
-    control: &ControlSender,
-    rx: &Receiver<Record>,
-) {
-    while let Ok(first) = rx.recv() {
-        let records = iter::once(first).chain(rx.try_iter());
-        let mut batch = Vec::new();
-        for record in records.take(MAX_QUEUED_RECORDS) {
-            let Ok(encoded) = record.encode(limits.record_bytes) else {
-                log::error!("record {} cannot be serialised and is dropped", record.id);
-                continue;
-            };
-            if encoded.iter().map(Vec::len).sum::<usize>() > MAX_BATCHED_RECORD_BYTES {
-                append_batch(log, shared, control, &std::mem::take(&mut batch));
-                for call in split_by_size(&encoded, limits.call_bytes) {
-                    append_batch(log, shared, control, call);
+    log: Arc<dyn Log>,
+    shared: Arc<Shared>,
+}
+
+/// A record as it is written: whole, or in parts.
+struct EncodedRecord {
+    id: RecordId,
+    parts: Vec<Vec<u8>>,
+}
+
+impl AppendLoop {
+    /// Appends queued records in batches, so that many records take little longer than one when the log service is slow.
+    fn run(&self, rx: &Receiver<Record>) {
+        while let Ok(first) = rx.recv() {
+            let records = iter::once(first).chain(rx.try_iter());
+            let mut batch = Vec::new();
+            for record in records.take(MAX_QUEUED_RECORDS) {
+                let Ok(parts) = record.encode(self.limits.record_bytes) else {
+                    log::error!("record {} cannot be serialised and is dropped", record.id);
+                    continue;
+                };
+                let encoded = EncodedRecord {
+                    id: record.id,
+                    parts,
+                };
+                if encoded.bytes() > MAX_BATCHED_RECORD_BYTES {
+                    self.append_batch(&std::mem::take(&mut batch));
+                    self.append_alone(&encoded);
+                } else {
+                    batch.push(encoded);
+                }
+            }
+            self.append_batch(&batch);
+        }
+    }
+
+    /// Appends short records in one call.
+    fn append_batch(&self, batch: &[EncodedRecord]) {
+        match batch {
+            [] => {}
+            [record] => self.append_alone(record),
+            _ => {
+                let records: Vec<Vec<u8>> = batch
+                    .iter()
+                    .flat_map(|record| record.parts.iter().cloned())
+                    .collect();
+                let is_rejected =
+                    matches!(self.append(&records), Err(AppendError::Unacceptable(_)));
+                if is_rejected {
+                    // One of the records is the cause. The others must not be given up with it.
+                    for record in batch {
+                        self.append_alone(record);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Appends one record, in as few calls as possible.
+    fn append_alone(&self, record: &EncodedRecord) {
+        for call in split_by_size(&record.parts, self.limits.call_bytes) {
+            match self.append(call) {
+                Ok(()) => {}
+                Err(AppendError::Unacceptable(reason)) => {
+                    let id = record.id.clone();
+                    let event = Event::AppendRejected { id, reason };
+                    self.control.send_event(event);
+                    return;
                 }
-            } else {
-                batch.extend(encoded);
+                Err(_) => return,
             }
         }
-        append_batch(log, shared, control, &batch);
+    }
+
+    fn append(&self, records: &[Vec<u8>]) -> Result<(), AppendError> {
+        let bytes = records.iter().map(Vec::len).sum();
+        self.shared.control_traffic.count_log_call(bytes);
+        let result = self.log.append_all(records);
+        match &result {
+            Ok(()) => {
+                self.shared
+                    .record_dependency_answer(Dependency::LogWrites, "");
+                self.control.send_event(Event::Appended);
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                self.shared
+                    .record_dependency_failure(Dependency::LogWrites, "", &reason);
+            }
+        }
+        result
+    }
+}
+
+impl EncodedRecord {
+    fn bytes(&self) -> usize {
+        self.parts.iter().map(Vec::len).sum()
     }
 }
 
@@ -100,21 +183,3 @@
     calls.push(&records[start..]);
     calls
 }
-
-fn append_batch(log: &dyn Log, shared: &Shared, control: &ControlSender, records: &[Vec<u8>]) {
-    if records.is_empty() {
-        return;
-    }
-    shared
-        .control_traffic
-        .count_log_call(records.iter().map(Vec::len).sum());
-    match log.append_all(records) {
-        Ok(()) => {
-            shared.record_dependency_answer(Dependency::LogWrites, "");
-            control.send_event(Event::Appended);
-        }
-        Err(error) => {
-            shared.record_dependency_failure(Dependency::LogWrites, "", &error.to_string())
-        }
-    }
-}
--- a/crates/skylarkctl/src/confirmed_append.rs
+++ b/crates/skylarkctl/src/confirmed_append.rs
@@ -63,7 +63,7 @@
     pub(crate) fn run(mut self) -> Result<Offset, Failure> {
         self.check_applicable()?;
         loop {
-            let refusal = self.append();
+            let refusal = self.append()?;
             if self.unconfirmed_reason.is_some()
                 && let Some(found) = self.find_record()
             {
@@ -88,18 +88,25 @@
         Ok(())
     }
 
-    /// Appends the record once, and returns the reason if the log refused it.
-    fn append(&mut self) -> Option<String> {
+    /// Appends the record once, and returns the reason if the log refused it for now.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the log will never accept the record and certainly does not hold it.
+    fn append(&mut self) -> Result<Option<String>, Failure> {
         match self.folded.log().append_all(&self.encoded) {
             Ok(()) => {
                 let reason = "the log accepted it, but it cannot be read";
                 self.unconfirmed_reason = Some(reason.to_owned());
-                None
+                Ok(None)
+            }
+            Err(AppendError::Refused(reason)) => Ok(Some(reason)),
+            Err(AppendError::Unacceptable(reason)) if self.unconfirmed_reason.is_none() => {
+                Err(Failure::Unacceptable { reason })
             }
-            Err(AppendError::Refused(reason)) => Some(reason),
-            Err(AppendError::Unknown(reason)) => {
+            Err(AppendError::Unacceptable(reason) | AppendError::Unknown(reason)) => {
                 self.unconfirmed_reason = Some(reason);
-                None
+                Ok(None)
             }
         }
     }
--- a/crates/skylarkctl/src/failure.rs
+++ b/crates/skylarkctl/src/failure.rs
@@ -70,6 +70,9 @@
     /// The snapshot in the log cannot be used.
     #[error(transparent)]
     Snapshot(#[from] SnapshotError),
+    /// The log will never accept the record.
+    #[error("the log does not accept the record ({reason}): publish a smaller document")]
+    Unacceptable { reason: String },
     /// The operator has not confirmed that the process has ended.
     #[error(
         "declaring {vm} lost gives its units away. Two processes own them if it still runs. Check that its \
@@ -99,7 +102,8 @@
             | Self::NotWritten { .. }
             | Self::Read(_)
             | Self::Refused(_)
-            | Self::Snapshot(_) => 1,
+            | Self::Snapshot(_)
+            | Self::Unacceptable { .. } => 1,
             Self::InvalidDocument { .. }
             | Self::MissingBase { .. }
             | Self::Unconfirmed { .. }
