Refuse no request for one crash of an upstream

Cause: after a broken connection the home asked /v1/health of the product's own interface, which servers of the platform lack, and took every failure for a crash. A request that was the only one running then was refused in the fleet at once, until its entry ended.

Change: UpstreamClient::has_ended takes only an address that refuses connections, or another process at it, for the end of a process. Every request that runs during a crash becomes a suspect and runs alone once; a completed run clears it everywhere. It is refused after it crashed an upstream alone as a suspect, or if upstreams go on crashing while it runs over 2 s after the first. Refusals end after 30 s with one trial.

The assertion in clearing_a_recorded_suspect_... that one crash leads to refusal was what this change corrects; the test now lets the request crash alone once more and expects the refusal then.

Conclusion: a harmful request costs at most one server more than before, a harmless one is no longer refused by chance.

--- a/crates/cluster/src/body.rs
+++ b/crates/cluster/src/body.rs
@@ -123,9 +123,9 @@
         fingerprint: String,
         /// Workspace that sent the request.
         workspace: WorkspaceId,
-        /// Whether no other request was running.
+        /// Whether the request ran alone as a suspect.
         alone: bool,
-        /// Time at which the entry ends, in milliseconds since the Unix epoch.
+        /// Time of the crash plus `QUARANTINE_MS`, in milliseconds since the Unix epoch.
         expires_unix_ms: u64,
     },
     /// Requests new witnesses for a member, or releases its former ones once it has new ones.
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -68,6 +68,7 @@
 pub use plan_pins::plan_pins;
 pub use plan_pins::plan_unpins;
 pub use quarantine::MAX_QUARANTINE_MS;
+pub use quarantine_entry::QUARANTINE_MS;
 pub use quarantine_entry::QuarantineEntry;
 pub use quarantine_state::QuarantineState;
 pub use quorum::Quorum;
--- a/crates/cluster/src/quarantine.rs
+++ b/crates/cluster/src/quarantine.rs
@@ -8,6 +8,7 @@
 
 use crate::QuarantineEntry;
 use crate::QuarantineState;
+use crate::quarantine_entry::QUARANTINE_MS;
 
 /// Maximum lifetime of an entry, in milliseconds.
 ///
@@ -42,19 +43,12 @@
     pub(crate) fn add(&mut self, crash: CrashReport) -> QuarantineState {
         self.evict_expired(crash.expires_unix_ms.saturating_sub(MAX_QUARANTINE_MS));
         let fingerprint = crash.fingerprint;
+        let crashed_unix_ms = crash.expires_unix_ms.saturating_sub(QUARANTINE_MS);
         let entry = self
             .entries
             .entry(fingerprint.clone())
-            .or_insert_with(|| QuarantineEntry {
-                alone: false,
-                expires_unix_ms: 0,
-                upstream_instances: Default::default(),
-                workspace: crash.workspace,
-            });
-        entry.alone |= crash.alone;
-        entry.expires_unix_ms = entry.expires_unix_ms.max(crash.expires_unix_ms);
-        entry.upstream_instances.insert(crash.upstream_instance);
-        let state = entry.state();
+            .or_insert_with(|| QuarantineEntry::new(crash.workspace, crashed_unix_ms));
+        let state = entry.add_crash(crashed_unix_ms, crash.upstream_instance, crash.alone);
         self.evict_excess(&fingerprint);
         state
     }
--- a/crates/policy/src/crash_observation.rs
+++ b/crates/policy/src/crash_observation.rs
@@ -10,7 +10,7 @@
 /// for a bounded time, so that callers do not retry them at a home that does not know of the crash yet.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct CrashObservation {
-    /// Whether no request with another fingerprint was running.
+    /// Whether the request ran alone because it was a suspect.
     pub alone: bool,
     /// Fingerprint of the request's content.
     pub fingerprint: Fingerprint,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -163,6 +163,7 @@
 pub use stated_rate::StatedRate;
 pub use statement::Statement;
 pub use status_reply::StatusReply;
+pub use suspects::REFUSAL_TIME;
 pub use suspects::SUSPICION_TIME;
 pub use suspects::StartDecision;
 pub use suspects::Suspects;
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -13,6 +13,9 @@
 /// Time for which a home keeps its own observations of crashes.
 pub const SUSPICION_TIME: Duration = Duration::from_secs(600);
 
+/// Time for which a request is refused after a crash that identified it. It then runs alone again.
+pub const REFUSAL_TIME: Duration = Duration::from_secs(30);
+
 /// Decision on whether a request starts now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StartDecision {
@@ -26,26 +29,44 @@
 
 /// Requests that may crash the upstream of a home.
 ///
-/// All requests that are running when the upstream crashes become suspects. A suspect runs only while
-/// no other request runs, so that a second crash identifies the request that caused it. A suspect that
-/// completes without a crash is cleared.
+/// All requests that are running when the upstream crashes become suspects, also if there is only one: most crashes are
+/// not caused by a request. A suspect runs only while no other request runs, so that a second crash identifies the request
+/// that caused it. It is refused for a time, and then runs alone once more. A suspect that completes without a crash is
+/// cleared.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     /// Levels recorded in the log.
     fleet_levels: BTreeMap<Fingerprint, SuspicionLevel>,
-    /// Levels from this home's own observations, with their time of expiry.
-    own_levels: BTreeMap<Fingerprint, (SuspicionLevel, Duration)>,
+    /// This home's own observations.
+    own: BTreeMap<Fingerprint, OwnSuspicion>,
     running: BTreeMap<Ticket, Fingerprint>,
     running_alone: Option<Ticket>,
     waiting_alone: Option<Ticket>,
 }
 
+/// Suspicion of a request from a home's own observations.
+#[derive(Clone, Copy, Debug)]
+struct OwnSuspicion {
+    expires_at: Duration,
+    /// Time until which the request is refused.
+    refused_until: Duration,
+}
+
+impl OwnSuspicion {
+    fn level_at(self, now: Duration) -> Option<SuspicionLevel> {
+        if now < self.refused_until {
+            Some(SuspicionLevel::Refused)
+        } else {
+            (now < self.expires_at).then_some(SuspicionLevel::Suspect)
+        }
+    }
+}
+
 impl Suspects {
     /// Returns the treatment of a request.
     pub fn action_for(&self, now: Duration, fingerprint: &str) -> QuarantineAction {
-        let own = self.own_levels.get(fingerprint);
-        let own = own.filter(|(_, expires_at)| now < *expires_at);
-        let own = own.map(|(level, _)| *level);
+        let own = self.own.get(fingerprint);
+        let own = own.and_then(|own| own.level_at(now));
         match own.max(self.fleet_levels.get(fingerprint).copied()) {
             None => QuarantineAction::Free,
             Some(SuspicionLevel::Suspect) => QuarantineAction::RunAlone,
@@ -60,7 +81,7 @@
     pub fn set_fleet_levels(&mut self, levels: BTreeMap<Fingerprint, SuspicionLevel>) {
         for fingerprint in self.fleet_levels.keys() {
             if !levels.contains_key(fingerprint) {
-                self.own_levels.remove(fingerprint);
+                self.own.remove(fingerprint);
             }
         }
         self.fleet_levels = levels;
@@ -69,7 +90,7 @@
     /// Records that a request was cleared, by an operator or because it ran alone without a crash.
     pub fn clear(&mut self, fingerprint: &str) {
         self.fleet_levels.remove(fingerprint);
-        self.own_levels.remove(fingerprint);
+        self.own.remove(fingerprint);
     }
 
     /// Starts a request unless it is refused or has to wait for other requests.
@@ -114,32 +135,27 @@
 
     /// Records that the upstream crashed, and returns the observations to be recorded in the log.
     pub fn record_crash(&mut self, now: Duration) -> Vec<CrashObservation> {
-        self.own_levels
-            .retain(|_, (_, expires_at)| now < *expires_at);
-        self.running_alone = None;
+        self.own.retain(|_, own| now < own.expires_at);
+        let isolated = self.running_alone.take();
         let running = std::mem::take(&mut self.running);
+        let alone = running.keys().any(|ticket| isolated == Some(*ticket));
         let fingerprints: BTreeSet<Fingerprint> = running.into_values().collect();
-        let alone = fingerprints.len() == 1;
         for fingerprint in &fingerprints {
-            let level = self.level_after_crash(fingerprint, alone);
-            let expires_at = now + SUSPICION_TIME;
-            self.own_levels
-                .insert(fingerprint.clone(), (level, expires_at));
+            let known = self.own.get(fingerprint);
+            let refused_until = match alone {
+                true => now + REFUSAL_TIME,
+                false => known.map_or(Duration::ZERO, |known| known.refused_until),
+            };
+            let own = OwnSuspicion {
+                expires_at: now + SUSPICION_TIME,
+                refused_until,
+            };
+            self.own.insert(fingerprint.clone(), own);
         }
         let observe = |fingerprint| CrashObservation { alone, fingerprint };
         fingerprints.into_iter().map(observe).collect()
     }
 
-    fn level_after_crash(&self, fingerprint: &str, alone: bool) -> SuspicionLevel {
-        let was_suspected = self.own_levels.contains_key(fingerprint)
-            || self.fleet_levels.contains_key(fingerprint);
-        if alone || was_suspected {
-            SuspicionLevel::Refused
-        } else {
-            SuspicionLevel::Suspect
-        }
-    }
-
     fn start_concurrently(&self, _ticket: Ticket) -> StartDecision {
         if self.running_alone.is_some() || self.waiting_alone.is_some() {
             return StartDecision::Wait;
--- a/crates/policy/src/suspicion_level.rs
+++ b/crates/policy/src/suspicion_level.rs
@@ -11,6 +11,6 @@
 pub enum SuspicionLevel {
     /// The request was one of several that were running when an upstream crashed.
     Suspect,
-    /// Two upstreams crashed while the request ran, or one while it ran alone.
+    /// An upstream crashed while the request ran alone as a suspect, or upstreams crashed again and again while it ran.
     Refused,
 }
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -7,6 +7,7 @@
 use policy::Content;
 use policy::CrashObservation;
 use policy::QuarantineAction;
+use policy::REFUSAL_TIME;
 use policy::SUSPICION_TIME;
 use policy::StartDecision;
 use policy::Suspects;
@@ -64,11 +65,68 @@
     assert_eq!(suspects.action_for(NOW, "s"), QuarantineAction::Free);
 }
 
+/// Lets the upstream crash while a request runs, and again while it runs alone as a suspect.
+fn crash_alone(suspects: &mut Suspects, now: Duration, fingerprint: &str) {
+    for alone in [false, true] {
+        let start = suspects.try_start(now, 1, fingerprint);
+        assert_eq!(start, StartDecision::Started);
+        let fingerprint = fingerprint.to_owned();
+        assert_eq!(
+            suspects.record_crash(now),
+            [CrashObservation { alone, fingerprint }]
+        );
+    }
+}
+
+// Guards against the refusal of harmless requests that were running, alone or with equal ones, during a crash they did not cause.
+#[test]
+fn a_single_crash_refuses_no_request() {
+    for equal_requests in 1..4 {
+        let mut suspects = Suspects::default();
+        for ticket in 0..equal_requests {
+            suspects.try_start(NOW, ticket, "popular");
+        }
+        let observed = suspects.record_crash(NOW);
+        let fingerprint = "popular".to_owned();
+        let alone = false;
+        assert_eq!(observed, [CrashObservation { alone, fingerprint }]);
+        assert_eq!(
+            suspects.action_for(NOW, "popular"),
+            QuarantineAction::RunAlone
+        );
+        let start = suspects.try_start(NOW, 9, "popular");
+        assert_eq!(start, StartDecision::Started);
+        assert_eq!(suspects.record_finish(9, true).as_deref(), Some("popular"));
+        assert_eq!(suspects.action_for(NOW, "popular"), QuarantineAction::Free);
+    }
+}
+
+// Guards against a wrong verdict that lasts as long as the suspicion.
+#[test]
+fn a_refused_request_runs_alone_again_after_a_while() {
+    let mut suspects = Suspects::default();
+    crash_alone(&mut suspects, NOW, "s");
+    let later = NOW + REFUSAL_TIME;
+    let just_before = later.saturating_sub(Duration::from_millis(1));
+    assert_eq!(
+        suspects.action_for(just_before, "s"),
+        QuarantineAction::Refuse
+    );
+    assert_eq!(suspects.action_for(later, "s"), QuarantineAction::RunAlone);
+    suspects.try_start(later, 2, "s");
+    let observed = suspects.record_crash(later);
+    assert!(observed[0].alone);
+    assert_eq!(suspects.action_for(later, "s"), QuarantineAction::Refuse);
+    let again = later + REFUSAL_TIME;
+    suspects.try_start(again, 3, "s");
+    suspects.record_finish(3, true);
+    assert_eq!(suspects.action_for(again, "s"), QuarantineAction::Free);
+}
+
 #[test]
 fn clearing_a_recorded_suspect_also_clears_the_homes_own_observation() {
     let mut suspects = Suspects::default();
-    suspects.try_start(NOW, 1, "s");
-    suspects.record_crash(NOW);
+    crash_alone(&mut suspects, NOW, "s");
     suspects.set_fleet_levels(BTreeMap::new());
     let unrecorded = suspects.action_for(NOW, "s");
     suspects.set_fleet_levels(BTreeMap::from([("s".to_owned(), SuspicionLevel::Refused)]));
--- a/crates/router/src/home/crash_report.rs
+++ b/crates/router/src/home/crash_report.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use cluster::Body;
+use cluster::QUARANTINE_MS;
 use futures_util::future::join_all;
 use policy::CrashObservation;
-use policy::SUSPICION_TIME;
 
 use crate::clock::unix_ms;
 use crate::home::Home;
@@ -26,7 +26,7 @@
     /// Callers get their refusals only after that. Otherwise a resent request could reach a home before the crash is
     /// recorded.
     pub(crate) async fn confirm_and_record(&self) -> bool {
-        if !has_crashed(self.upstream).await {
+        if !self.has_crashed().await {
             return false;
         }
         let mut is_recorded = self.upstream.crash_recorded.lock().await;
@@ -38,6 +38,15 @@
         true
     }
 
+    /// Reports whether the upstream no longer runs or has restarted.
+    async fn has_crashed(&self) -> bool {
+        if self.home.shared.dialect.has_control_interface {
+            self.upstream.reports.record_extra_request();
+        }
+        let instance = &self.upstream.announcement.instance;
+        self.upstream.client.has_ended(instance).await
+    }
+
     async fn record(&self) {
         self.home
             .control
@@ -65,24 +74,14 @@
                 .map(|running| running.workspace.clone())
                 .unwrap_or_default()
         };
-        let lifetime_ms = u64::try_from(SUSPICION_TIME.as_millis()).unwrap_or(u64::MAX);
         let record = |observation: CrashObservation| Body::Quarantine {
             vm: self.home.shared.vm.clone(),
             upstream_instance: self.upstream.announcement.instance.clone(),
             workspace: workspace(&observation),
             fingerprint: observation.fingerprint,
             alone: observation.alone,
-            expires_unix_ms: unix_ms().saturating_add(lifetime_ms),
+            expires_unix_ms: unix_ms().saturating_add(QUARANTINE_MS),
         };
         observations.into_iter().map(record).collect()
     }
 }
-
-/// Reports whether the upstream no longer runs or has restarted.
-async fn has_crashed(upstream: &LocalUpstream) -> bool {
-    upstream.reports.record_extra_request();
-    match upstream.client.fetch_health().await {
-        Ok(health) => health.instance != upstream.announcement.instance,
-        Err(_) => true,
-    }
-}
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -51,6 +51,9 @@
 /// Divisor of the queue's capacity that gives the maximum number of waiting requests of one workspace.
 const WORKSPACE_QUEUE_DIVISOR: usize = 2;
 
+/// Time after which the levels of suspicion are computed again although the log holds no new record, in milliseconds.
+const LEVELS_INTERVAL_MS: u64 = 1_000;
+
 /// State of the home that its lock protects.
 #[derive(Debug)]
 pub(crate) struct HomeState {
@@ -71,6 +74,8 @@
     pub(crate) running: BTreeMap<Ticket, RunningRequest>,
     /// Times that requests take on the current upstream.
     pub(crate) service_times: ServiceTimes,
+    /// Time at which the levels of suspicion are computed again, in milliseconds since the Unix epoch.
+    next_levels_unix_ms: u64,
     pub(crate) suspects: Suspects,
     pub(crate) upstream: Option<LocalUpstream>,
     pub(crate) watchers: BTreeMap<RequestId, Vec<oneshot::Sender<Outcome>>>,
@@ -143,6 +148,7 @@
             queue: new_queue(limits, policy.queue),
             running: BTreeMap::new(),
             service_times: ServiceTimes::default(),
+            next_levels_unix_ms: 0,
             suspects: Suspects::default(),
             upstream: None,
             watchers: BTreeMap::new(),
@@ -175,12 +181,16 @@
 
     /// Applies changes of the fleet state: suspicions of requests that crash upstreams, and the cold rate.
     pub(crate) fn apply_fleet_changes(&mut self, view: &View) {
-        if self.fleet_offset == view.fleet.next_offset() {
+        let now_unix_ms = unix_ms();
+        // Levels change with time as well as with records.
+        let is_due = now_unix_ms >= self.next_levels_unix_ms && !view.fleet.quarantine().is_empty();
+        if self.fleet_offset == view.fleet.next_offset() && !is_due {
             return;
         }
         self.fleet_offset = view.fleet.next_offset();
+        self.next_levels_unix_ms = now_unix_ms.saturating_add(LEVELS_INTERVAL_MS);
         self.suspects
-            .set_fleet_levels(suspicion_levels(&view.fleet, unix_ms()));
+            .set_fleet_levels(suspicion_levels(&view.fleet, now_unix_ms));
         self.update_cold_rate(view);
     }
 
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -23,6 +23,7 @@
 mod health;
 mod in_flight_request;
 mod not_run_reason;
+mod process_check;
 mod request;
 mod upstream_client;
 
--- a/crates/upstream/src/upstream_client.rs
+++ b/crates/upstream/src/upstream_client.rs
@@ -228,6 +228,10 @@
         &self.shared.pool
     }
 
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.shared.address
+    }
+
     pub(crate) fn settings(&self) -> &ClientSettings {
         &self.shared.settings
     }
--- a/crates/upstream/tests/upstream/main.rs
+++ b/crates/upstream/tests/upstream/main.rs
@@ -3,6 +3,7 @@
 mod control;
 mod cut_heads;
 mod dispatch;
+mod ended;
 mod endless;
 mod fake_upstream;
 mod replayed;
