Run an idempotent request again at the only home

Cause: an entry repeats an idempotent request whose outcome is unknown at another home, or at the same one if there is no other. The home remembered the id as lost, and answered that in place of running the request.

Change: the home forgets the lost run of an idempotent request without an idempotency key when it arrives again. Without such a key the reason is upstream-silent (502), never idempotency-unknown.

Evidence: mesh crashes::a_request_that_fails_twice_at_the_only_server_is_no_conflict failed before (409), and passes.

Conclusion: attempts stay bounded by the route and the retry budget. Requests that are not idempotent run once, as before.

--- a/crates/policy/src/request_memory.rs
+++ b/crates/policy/src/request_memory.rs
@@ -124,6 +124,18 @@
         BeginDecision::Run
     }
 
+    /// Forgets a request without an idempotency key that may have run but has no answer, so that it may run again under its id.
+    /// Call it only for idempotent requests.
+    pub fn forget_lost(&mut self, id: &str) {
+        let Some(number) = self.records.by_id(id) else {
+            return;
+        };
+        let record = self.records.get(number);
+        if record.key.is_none() && matches!(record.state, RequestState::Lost) {
+            self.records.remove(number);
+        }
+    }
+
     /// Returns the time until [`RequestMemory::begin`] accepts a key, zero unless it is too far in the
     /// future.
     ///
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -200,6 +200,10 @@
                 _ => return BeginResult::Ended(self.not_owner(&view)),
             }
         }
+        let has_key = request.idempotency.is_some();
+        if dispatch.idempotent && !has_key {
+            state.memory.forget_lost(id);
+        }
         match state.memory.begin(now, unix_ms(), request) {
             BeginDecision::AlreadyRunning { first } => {
                 let (tx, watched) = oneshot::channel();
@@ -212,9 +216,13 @@
             BeginDecision::Conflict => not_run(Reason::IdempotencyConflict),
             BeginDecision::Full => not_run(Reason::Overloaded),
             BeginDecision::Run => BeginResult::Run,
-            BeginDecision::Unknown => BeginResult::Ended(encode_statement(
-                &self.unknown(id, Reason::IdempotencyUnknown),
-            )),
+            BeginDecision::Unknown => {
+                let reason = match has_key {
+                    true => Reason::IdempotencyUnknown,
+                    false => Reason::UpstreamSilent,
+                };
+                BeginResult::Ended(encode_statement(&self.unknown(id, reason)))
+            }
         }
     }
 
