Bound the answers that are received from an upstream at once

Callers saw, by the report of others: a faulty server sent bytes without end, the process that had called it ran out of memory, and the requests of its other callers ended with it.

Cause: the limit of an answer's body (1 MiB) holds for one answer. Nothing bounded the answers that are received at once, whose number the upstream's own statement of its slots sets.

Change: bodies that are being received share limits.home_answer_bytes (32 MiB), a permit for each byte.

--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -241,7 +241,7 @@
                 permit.end_when_confirmed(Completion::Failed);
                 started.refuse(Reason::UpstreamSilent)
             }
-            DispatchError::TooLarge { .. } => {
+            DispatchError::NoMemory { .. } | DispatchError::TooLarge { .. } => {
                 permit.end_when_confirmed(Completion::Failed);
                 started.refuse(Reason::AnswerTooLarge)
             }
--- a/crates/router/src/home/local_upstream.rs
+++ b/crates/router/src/home/local_upstream.rs
@@ -33,6 +33,8 @@
         let settings = ClientSettings {
             max_answer_bytes: usize::try_from(shared.limits.answer_bytes).unwrap_or(usize::MAX),
             max_connections: connections.unwrap_or(announcement.connections) as usize,
+            max_total_answer_bytes: usize::try_from(shared.limits.home_answer_bytes)
+                .unwrap_or(usize::MAX),
             dialect: Arc::clone(&shared.dialect),
             ..ClientSettings::default()
         };
--- a/crates/router/src/settings/limits.rs
+++ b/crates/router/src/settings/limits.rs
@@ -31,6 +31,9 @@
     pub header_bytes: u64,
     /// Time that a caller has to send the head of a request, in milliseconds.
     pub header_timeout_ms: u64,
+    /// Maximum total size of the answers that are being received from the local upstream, in bytes. Answers beyond it are
+    /// dropped as too large.
+    pub home_answer_bytes: u64,
     /// Maximum total size of the bodies of requests that wait for the local upstream or run on it, in bytes. Further
     /// requests are refused as not run.
     pub home_body_bytes: u64,
@@ -68,6 +71,7 @@
             evacuation_timeout: Duration::from_secs(5),
             header_bytes: 32 << 10,
             header_timeout_ms: 5_000,
+            home_answer_bytes: 32 << 20,
             home_body_bytes: 32 << 20,
             kept_decisions: 5_000,
             max_deadline_ms: 30_000,
@@ -114,6 +118,12 @@
                 10,
                 60_000,
             ),
+            (
+                "limits.home_answer_bytes",
+                self.home_answer_bytes,
+                self.answer_bytes,
+                1 << 30,
+            ),
             (
                 "limits.home_body_bytes",
                 self.home_body_bytes,
--- a/crates/upstream/src/client_settings.rs
+++ b/crates/upstream/src/client_settings.rs
@@ -18,6 +18,8 @@
     pub idle_timeout: Duration,
     /// Maximum length of an answer's body, in bytes.
     pub max_answer_bytes: usize,
+    /// Maximum total length of the bodies of the answers that are being received, in bytes.
+    pub max_total_answer_bytes: usize,
     /// Maximum number of open connections, of which 4 are reserved for control requests.
     pub max_connections: usize,
     /// Time since its last answer after which a connection is no longer used for requests that are not idempotent.
@@ -33,6 +35,7 @@
             idle_timeout: Duration::from_secs(5),
             max_answer_bytes: 1 << 20,
             max_connections: 80,
+            max_total_answer_bytes: 32 << 20,
             non_idempotent_idle_timeout: Duration::from_millis(250),
         }
     }
--- a/crates/upstream/src/dispatch_error.rs
+++ b/crates/upstream/src/dispatch_error.rs
@@ -25,6 +25,12 @@
     /// The upstream states that the request did not run.
     #[error("the upstream did not run the request ({0:?}): retry later")]
     NotRun(NotRunReason),
+    /// The answers that are being received would take too much memory together with this one.
+    #[error("the answers that are being received take {limit_bytes} bytes: the request ran")]
+    NoMemory {
+        /// The limit, in bytes.
+        limit_bytes: usize,
+    },
     /// The request was not sent.
     #[error("the upstream cannot be reached ({0}): check that it runs")]
     NotSent(String),
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -15,6 +15,7 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use ids::RequestId;
+use tokio::sync::SemaphorePermit;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
@@ -280,6 +281,7 @@
         if body.size_hint().lower() > limit_bytes as u64 {
             return Err(too_large());
         }
+        let mut reserved = self.reserve_bytes(0)?;
         let mut buf = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| DispatchError::Truncated(error.to_string()))?;
@@ -289,8 +291,18 @@
             if buf.len() + data.len() > limit_bytes {
                 return Err(too_large());
             }
+            reserved.merge(self.reserve_bytes(data.len())?);
             buf.extend_from_slice(&data);
         }
         Ok(buf.freeze())
     }
+
+    /// Reserves memory for bytes of an answer, until the answer is complete or dropped.
+    fn reserve_bytes(&self, bytes: usize) -> Result<SemaphorePermit<'_>, DispatchError> {
+        let limit_bytes = self.client.settings().max_total_answer_bytes;
+        let no_memory = || DispatchError::NoMemory { limit_bytes };
+        let bytes = u32::try_from(bytes).map_err(|_| no_memory())?;
+        let permits = self.client.answer_bytes().try_acquire_many(bytes);
+        permits.map_err(|_| no_memory())
+    }
 }
--- a/crates/upstream/src/upstream_client.rs
+++ b/crates/upstream/src/upstream_client.rs
@@ -46,6 +46,8 @@
 #[derive(Debug)]
 struct Shared {
     address: SocketAddr,
+    /// Bytes of bodies of answers that may still be received, a permit for each.
+    answer_bytes: Semaphore,
     /// Number of answers that have begun.
     answers: AtomicU64,
     control: ControlClient,
@@ -82,6 +84,7 @@
             .max(1);
         let shared = Shared {
             address,
+            answer_bytes: Semaphore::new(settings.max_total_answer_bytes),
             answers: AtomicU64::new(0),
             control: ControlClient::new(address, settings.control_timeout),
             observer,
@@ -232,6 +235,10 @@
         self.shared.address
     }
 
+    pub(crate) fn answer_bytes(&self) -> &Semaphore {
+        &self.shared.answer_bytes
+    }
+
     pub(crate) fn settings(&self) -> &ClientSettings {
         &self.shared.settings
     }
--- a/crates/upstream/tests/upstream/endless.rs
+++ b/crates/upstream/tests/upstream/endless.rs
@@ -197,3 +197,49 @@
     assert_eq!(second.body, "ok");
     upstream.check("bytes after an answer").await;
 }
+
+/// Starts an upstream that sends 900 bytes of a body of 1,000 bytes on each connection, and then nothing.
+async fn spawn_stalling_upstream() -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                read_head(&mut stream).await;
+                let body = "x".repeat(900);
+                let text = format!("{HEAD}content-length: 1000\r\n\r\n{body}");
+                stream.write_all(text.as_bytes()).await.unwrap();
+                stream.read_to_end(&mut Vec::new()).await
+            });
+        }
+    });
+    address
+}
+
+// Guards against answers that are each within their limit but fill the memory together.
+#[tokio::test]
+async fn answers_that_are_received_at_once_take_limited_memory_together() {
+    let settings = ClientSettings {
+        max_answer_bytes: 1000,
+        max_total_answer_bytes: 1500,
+        ..ClientSettings::default()
+    };
+    let client = UpstreamClient::new(spawn_stalling_upstream().await, settings);
+    for _ in 0..2 {
+        let deadline = Instant::now() + TRICKLED_DEADLINE;
+        let (first, second) = tokio::join!(
+            client.dispatch(request("/"), deadline),
+            client.dispatch(request("/"), deadline)
+        );
+        let mut errors = [first.unwrap_err(), second.unwrap_err()].map(|error| error.to_string());
+        errors.sort();
+        assert_eq!(
+            errors,
+            [
+                "the answers that are being received take 1500 bytes: the request ran",
+                "the upstream did not end its answer in time: the request ran"
+            ]
+        );
+    }
+}
