--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -10,7 +10,14 @@
 const LOG_WAIT: Duration = Duration::from_secs(60);
 
 /// Returns the agent of a process that has just started.
+#[allow(dead_code)]
 pub(crate) fn agent() -> Agent {
+    agent_of("vm-1")
+}
+
+/// Returns the agent of the process of a VM that has just started.
+#[allow(dead_code)]
+pub(crate) fn agent_of(vm: &str) -> Agent {
     Agent::new(AgentSettings {
         evacuation_timeout: Duration::from_secs(5),
         lease: LEASE,
@@ -21,7 +28,7 @@
         retention: None,
         seed: 7,
         stop_timeout: std::time::Duration::from_secs(20),
-        vm: "vm-1".to_owned(),
+        vm: vm.to_owned(),
         zone: "z".to_owned(),
     })
 }
