--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -76,15 +76,17 @@
 
     /// Appends the declared manifest, in place of an earlier one that is still pending.
     fn publish_manifest(&mut self, now: Duration, revision: u64, actions: &mut Vec<Action>) {
-        let is_publication = |body: &Body| matches!(body, Body::Publish { .. });
-        let is_current = |body: &Body| matches!(body, Body::Publish { document: Document::Manifest(manifest), .. } if manifest.revision == revision);
-        if self.appends.any(is_current) {
+        if self
+            .appends
+            .any(|body| published_revision(body) == Some(revision))
+        {
             return;
         }
         let Some(manifest) = self.declarations.manifest.clone() else {
             return;
         };
-        self.appends.drop_where(is_publication);
+        self.appends
+            .drop_where(|body| published_revision(body).is_some());
         let body = Body::Publish {
             base: self.log.fleet().plans_version(),
             document: Document::Manifest(manifest),
@@ -156,3 +158,14 @@
             || now >= self.schedule.declarations_settled_at
     }
 }
+
+/// Returns the revision of the manifest that a record publishes.
+fn published_revision(body: &Body) -> Option<u64> {
+    match body {
+        Body::Publish {
+            document: Document::Manifest(manifest),
+            ..
+        } => Some(manifest.revision),
+        _ => None,
+    }
+}
--- a/crates/membership/src/agent_log.rs
+++ b/crates/membership/src/agent_log.rs
@@ -95,6 +95,18 @@
                 let incarnation = offset;
                 actions.push(Action::LogDecision(Decision::Joined { incarnation }));
             }
+            _ => self.continue_without(now, record, actions),
+        }
+    }
+
+    /// Continues after a record of this process that had no effect, or a move that left some units where they were.
+    pub(crate) fn continue_without(
+        &mut self,
+        now: Duration,
+        record: &Record,
+        actions: &mut Vec<Action>,
+    ) {
+        match (&self.state, &record.body) {
             (MemberState::Joining(_), Body::Join(_)) => {
                 let not_before = now + self.rejoin_backoff;
                 self.state = MemberState::Absent(Absent { not_before });
--- a/crates/membership/src/agent_rejections.rs
+++ b/crates/membership/src/agent_rejections.rs
@@ -5,13 +5,10 @@
 use cluster::Body;
 use cluster::Document;
 use cluster::Record;
-use ids::Unit;
 
-use crate::Absent;
 use crate::Action;
 use crate::Agent;
 use crate::Decision;
-use crate::MemberState;
 
 impl Agent {
     /// Records that the log will never accept a record of this process.
@@ -26,29 +23,16 @@
 
     /// Continues without a record that the log will never accept.
     pub(crate) fn give_up(&mut self, now: Duration, record: &Record, actions: &mut Vec<Action>) {
-        match (&self.state, &record.body) {
-            (
-                _,
-                Body::Publish {
-                    document: Document::Manifest(manifest),
-                    ..
-                },
-            ) => {
-                self.rejected_declarations.revision = manifest.revision;
-            }
-            (_, Body::Zone { zone, out, .. }) => {
+        match &record.body {
+            Body::Publish {
+                document: Document::Manifest(manifest),
+                ..
+            } => self.rejected_declarations.revision = manifest.revision,
+            Body::Zone { zone, out, .. } => {
                 let zones = &mut self.rejected_declarations.zones;
                 zones.insert(zone.clone(), *out);
             }
-            (MemberState::Joining(_), Body::Join(_)) => {
-                let not_before = now + self.rejoin_backoff;
-                self.state = MemberState::Absent(Absent { not_before });
-            }
-            (_, Body::Move { units, .. }) => {
-                let is_named = |unit: &Unit| units.iter().any(|named| named.unit == *unit);
-                self.resume_unmoved_units(is_named, actions);
-            }
-            _ => {}
+            _ => self.continue_without(now, record, actions),
         }
     }
 }
--- a/crates/membership/tests/publications.rs
+++ b/crates/membership/tests/publications.rs
@@ -164,7 +164,7 @@
     let mut is_declared = vec![false; members];
     let (mut publications, mut records, mut bytes) = (0, 0, 0);
     let mut now = STEP;
-    while now < END && read.iter().any(|read| *read == 0) {
+    while now < END && read.contains(&0) {
         now += STEP;
         for (index, agent) in agents.iter_mut().enumerate() {
             let mut actions = agent.handle(now, Event::LogIdle);
