--- a/crates/membership/tests/declarations.rs
+++ b/crates/membership/tests/declarations.rs
@@ -7,22 +7,16 @@
 use cluster::Body;
 use cluster::Document;
 use cluster::Record;
-use config::Manifest;
 use membership::Action;
 use membership::Event;
 use membership::OperatorDeclarations;
 use support::agent;
+use support::first_publication;
+use support::manifest;
 
 /// Time by which the only process must have published.
 const DEADLINE: Duration = Duration::from_secs(1);
 
-fn manifest(revision: u64) -> Manifest {
-    Manifest {
-        revision,
-        ..Manifest::default()
-    }
-}
-
 /// Returns the revisions that a process without an upstream publishes after it has read the log.
 fn published_revisions(log: Vec<(u64, String)>) -> Vec<u64> {
     let mut agent = agent();
@@ -30,7 +24,7 @@
     let next = log.len() as u64 + 1;
     let mut actions = agent.handle(now, Event::Records { next, records: log });
     let declared = OperatorDeclarations {
-        manifest: Some(Box::new(manifest(2))),
+        manifest: Some(manifest(2)),
         ..OperatorDeclarations::default()
     };
     actions.extend(agent.handle(now, Event::Declared(declared)));
@@ -51,15 +45,7 @@
 
 #[test]
 fn a_process_that_has_not_joined_publishes_a_newer_manifest() {
-    let first = Record {
-        body: Body::Publish {
-            base: 0,
-            document: Document::Manifest(Box::new(manifest(1))),
-        },
-        id: "record-1".to_owned(),
-        writer: "vm-2".to_owned(),
-    };
-    let log = vec![(1, serde_json::to_string(&first).unwrap())];
+    let log = vec![(1, first_publication())];
     assert_eq!(published_revisions(log), [2]);
 }
 
--- a/crates/membership/tests/rejected_appends.rs
+++ b/crates/membership/tests/rejected_appends.rs
@@ -7,20 +7,14 @@
 use cluster::Body;
 use cluster::Document;
 use cluster::Record;
-use config::Manifest;
 use membership::Action;
 use membership::Agent;
 use membership::Decision;
 use membership::Event;
 use membership::OperatorDeclarations;
 use support::agent;
-
-fn manifest(revision: u64) -> Box<Manifest> {
-    Box::new(Manifest {
-        revision,
-        ..Manifest::default()
-    })
-}
+use support::first_publication;
+use support::manifest;
 
 fn declared(revision: u64, zones_out: &[&str]) -> Event {
     Event::Declared(OperatorDeclarations {
@@ -33,15 +27,7 @@
 /// Returns an agent that has read a log with the first manifest.
 fn informed_agent() -> Agent {
     let mut agent = agent();
-    let first = Record {
-        body: Body::Publish {
-            base: 0,
-            document: Document::Manifest(manifest(1)),
-        },
-        id: "record-1".to_owned(),
-        writer: "vm-2".to_owned(),
-    };
-    let records = vec![(1, serde_json::to_string(&first).unwrap())];
+    let records = vec![(1, first_publication())];
     agent.handle(seconds(1), Event::Records { next: 2, records });
     agent
 }
--- a/crates/membership/tests/restored_declarations.rs
+++ b/crates/membership/tests/restored_declarations.rs
@@ -6,15 +6,16 @@
 use std::time::Duration;
 
 use cluster::Body;
-use cluster::Document;
 use cluster::Record;
-use config::Manifest;
 use ids::ZoneId;
 use ids::first_offset;
 use membership::Action;
 use membership::Agent;
 use membership::Event;
 use membership::OperatorDeclarations;
+use support::first_publication;
+use support::manifest;
+use support::record;
 
 /// Position of the declaration that took the zone out, before the restore.
 const POSITION: u64 = 5;
@@ -25,50 +26,27 @@
 /// Time that operators have to repeat a declaration.
 const SETTLE_TIME: Duration = Duration::from_secs(10);
 
-fn record(id: &str, body: Body) -> String {
-    let record = Record {
-        body,
-        id: id.to_owned(),
-        writer: "vm-2".to_owned(),
-    };
-    serde_json::to_string(&record).unwrap()
-}
-
 /// Returns a process that has read a log in which `zone-a` is out of service.
 fn agent() -> Agent {
     let mut agent = support::agent();
-    let manifest = Body::Publish {
-        base: 0,
-        document: Document::Manifest(Box::new(manifest())),
-    };
     let zone = Body::Zone {
         base: 0,
         out: true,
         position: POSITION,
         zone: "zone-a".to_owned(),
     };
-    let records = vec![
-        (1, record("record-1", manifest)),
-        (2, record("record-2", zone)),
-    ];
+    let records = vec![(1, first_publication()), (2, record("record-2", zone))];
     agent.handle(START, Event::Records { next: 3, records });
     agent
 }
 
-fn manifest() -> Manifest {
-    Manifest {
-        revision: 1,
-        ..Manifest::default()
-    }
-}
-
 /// Declares zones out of service at a position after the restore, and returns the zones whose state the process changes by
 /// `until`.
 fn changed_zones(zones_out: &[&str], until: Duration) -> Vec<(ZoneId, bool)> {
     let mut agent = agent();
     let zones_out: BTreeSet<ZoneId> = zones_out.iter().map(|zone| (*zone).to_owned()).collect();
     let declared = OperatorDeclarations {
-        manifest: Some(Box::new(manifest())),
+        manifest: Some(manifest(1)),
         position: first_offset(1),
         zones_out,
     };
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -1,8 +1,14 @@
 //! Agents for tests.
 
+#![allow(dead_code)]
+
 use std::time::Duration;
 
+use cluster::Body;
+use cluster::Document;
 use cluster::LEASE;
+use cluster::Record;
+use config::Manifest;
 use membership::Agent;
 use membership::AgentSettings;
 
@@ -10,13 +16,11 @@
 const LOG_WAIT: Duration = Duration::from_secs(60);
 
 /// Returns the agent of a process that has just started.
-#[allow(dead_code)]
 pub(crate) fn agent() -> Agent {
     agent_of("vm-1")
 }
 
 /// Returns the agent of the process of a VM that has just started.
-#[allow(dead_code)]
 pub(crate) fn agent_of(vm: &str) -> Agent {
     Agent::new(AgentSettings {
         evacuation_timeout: Duration::from_secs(5),
@@ -32,3 +36,27 @@
         zone: "z".to_owned(),
     })
 }
+
+/// Returns a manifest that declares nothing.
+pub(crate) fn manifest(revision: u64) -> Box<Manifest> {
+    Box::new(Manifest {
+        revision,
+        ..Manifest::default()
+    })
+}
+
+/// Returns the text of a record of another member.
+pub(crate) fn record(id: &str, body: Body) -> String {
+    let record = Record {
+        body,
+        id: id.to_owned(),
+        writer: "vm-2".to_owned(),
+    };
+    serde_json::to_string(&record).unwrap()
+}
+
+/// Returns the text of the record that publishes the first manifest.
+pub(crate) fn first_publication() -> String {
+    let document = Document::Manifest(manifest(1));
+    record("record-1", Body::Publish { base: 0, document })
+}
