--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -235,9 +235,7 @@
     ///
     /// Contact with witnesses does not suffice: they may be as far behind.
     pub fn is_up_to_date(&self, now: Duration) -> bool {
-        let declared = self.declarations.manifest.as_ref();
-        let has_unpublished =
-            declared.is_some_and(|manifest| manifest.revision > self.log.fleet().revision());
+        let has_unpublished = self.declared_revision() > self.log.fleet().revision();
         self.log.is_healthy(now) && !has_unpublished
     }
 
--- a/crates/membership/src/overdue_reads.rs
+++ b/crates/membership/src/overdue_reads.rs
@@ -10,7 +10,7 @@
 /// would find out by the time limit of its own read, many seconds later.
 #[derive(Debug, Default)]
 pub(crate) struct OverdueReads {
-    /// Time since which more records have been known than were read.
+    /// Time since which the log has been known to hold records that this process has not read.
     behind_since: Option<Duration>,
     /// Whether the log has accepted records of this process since the last check, which were not read back then.
     has_appended: bool,
--- a/crates/policy/src/begin_decision.rs
+++ b/crates/policy/src/begin_decision.rs
@@ -12,6 +12,8 @@
     pub id: RequestId,
     /// Idempotency key with the fingerprint of the content, if the caller gave a key.
     pub idempotency: Option<Idempotency>,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
     /// Unit that the request belongs to, absent for services without keys.
     pub unit: Option<Unit>,
 }
--- a/crates/policy/src/request_memory.rs
+++ b/crates/policy/src/request_memory.rs
@@ -102,7 +102,10 @@
     pub fn begin(&mut self, now: Duration, unix_ms: u64, request: NewRequest) -> BeginDecision<A> {
         self.records.expire(now);
         if let Some(number) = self.records.by_id(&request.id) {
-            return self.decide_repeated(number);
+            if !self.may_run_again(number, &request) {
+                return self.decide_repeated(number);
+            }
+            self.records.remove(number);
         }
         if let Some(idempotency) = &request.idempotency {
             if let Some(number) = self.records.by_key(&idempotency.key) {
@@ -124,18 +127,6 @@
         BeginDecision::Run
     }
 
-    /// Forgets a request without an idempotency key that may have run but has no answer, so that it may run again under its id.
-    /// Call it only for idempotent requests.
-    pub fn forget_lost(&mut self, id: &str) {
-        let Some(number) = self.records.by_id(id) else {
-            return;
-        };
-        let record = self.records.get(number);
-        if record.key.is_none() && matches!(record.state, RequestState::Lost) {
-            self.records.remove(number);
-        }
-    }
-
     /// Returns the time until [`RequestMemory::begin`] accepts a key, zero unless it is too far in the
     /// future.
     ///
@@ -230,6 +221,13 @@
         self.records.count() >= max_count || self.records.bytes() >= self.bounds.bytes
     }
 
+    /// Reports whether a request may run again under the id of one that may have run but has no answer.
+    fn may_run_again(&self, number: RecordNumber, request: &NewRequest) -> bool {
+        let record = self.records.get(number);
+        let has_key = record.key.is_some() || request.idempotency.is_some();
+        request.idempotent && !has_key && matches!(record.state, RequestState::Lost)
+    }
+
     fn decide_repeated(&self, number: RecordNumber) -> BeginDecision<A> {
         let record = self.records.get(number);
         match &record.state {
--- a/crates/policy/tests/keyed/mod.rs
+++ b/crates/policy/tests/keyed/mod.rs
@@ -33,6 +33,7 @@
             fingerprint: content.to_owned(),
             key,
         }),
+        idempotent: false,
         unit: Some(unit()),
     }
 }
--- a/crates/policy/tests/memory.rs
+++ b/crates/policy/tests/memory.rs
@@ -12,6 +12,7 @@
 use policy::BeginDecision;
 use policy::IdempotencyKey;
 use policy::MemoryBounds;
+use policy::NewRequest;
 use policy::StatusReply;
 
 #[test]
@@ -66,6 +67,31 @@
     insta::assert_snapshot!(log.join("\n"));
 }
 
+#[test]
+fn an_idempotent_request_without_a_key_runs_again_after_its_run_was_lost() {
+    let mut memory = memory(MemoryBounds::default());
+    let second = Duration::from_secs(1);
+    let begin = |memory: &mut Memory, key: Option<IdempotencyKey>, idempotent| {
+        let request = NewRequest {
+            idempotent,
+            ..request("r1", key, "one")
+        };
+        memory.begin(second, START_UNIX_MS, request)
+    };
+    assert_eq!(begin(&mut memory, None, true), BeginDecision::Run);
+    let first = "r1".to_owned();
+    let running = BeginDecision::AlreadyRunning { first };
+    assert_eq!(begin(&mut memory, None, true), running);
+    memory.record_lost(second, "r1");
+    assert_eq!(begin(&mut memory, None, false), BeginDecision::Unknown);
+    let key = key(START_UNIX_MS, 1);
+    assert_eq!(begin(&mut memory, Some(key), true), BeginDecision::Unknown);
+    assert_eq!(begin(&mut memory, None, true), BeginDecision::Run);
+    memory.record_answer(second, "r1", "done".to_owned(), 4);
+    let answered = BeginDecision::Answered("done".to_owned());
+    assert_eq!(begin(&mut memory, None, true), answered);
+}
+
 #[test]
 fn keys_are_parsed_strictly() {
     let parse = |text: &str| IdempotencyKey::parse("north".to_owned(), text);
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -11,7 +11,6 @@
 use cluster::Record;
 use cluster::RecordAssembler;
 use ids::Offset;
-use ids::RecordId;
 use ids::Unit;
 use membership::Action;
 use membership::Agent;
@@ -34,6 +33,7 @@
 use crate::control::load_exchange::peer_count;
 use crate::control::load_exchange::recipients;
 use crate::control::trace_writer::TraceWriter;
+use crate::control::unconfirmed_appends::UnconfirmedAppends;
 use crate::control::upstream_control::UpstreamControl;
 use crate::handover::IncomingHandovers;
 use crate::home::Home;
@@ -50,15 +50,6 @@
 /// Ticks between two load messages to peers.
 const LOAD_EXCHANGE_TICKS: u64 = 40;
 
-/// Time after which a record that has not been read back from the log is appended again.
-const APPEND_RETRY: Duration = Duration::from_millis(1_000);
-
-struct PendingAppend {
-    read_back: oneshot::Sender<()>,
-    record: Record,
-    sent: Duration,
-}
-
 /// Components that the control loop uses.
 pub(crate) struct ControlParts {
     pub(crate) agent: Agent,
@@ -84,8 +75,8 @@
     fleet_copy: FleetCopy,
     loads: LoadExchange,
     pub(super) parts: ControlParts,
-    pending_appends: BTreeMap<RecordId, PendingAppend>,
     ticks: u64,
+    unconfirmed_appends: UnconfirmedAppends,
 }
 
 impl ControlLoop {
@@ -97,8 +88,8 @@
             fleet_copy: FleetCopy::default(),
             loads: LoadExchange::default(),
             parts,
-            pending_appends: BTreeMap::new(),
             ticks: 0,
+            unconfirmed_appends: UnconfirmedAppends::default(),
         }
     }
 
@@ -141,14 +132,8 @@
             writer: self.parts.shared.vm.clone(),
         };
         self.parts.writer.append(record.clone());
-        let sent = self.parts.shared.clock.now();
-        let pending = PendingAppend {
-            read_back,
-            record,
-            sent,
-        };
-        self.pending_appends
-            .insert(pending.record.id.clone(), pending);
+        let now = self.parts.shared.clock.now();
+        self.unconfirmed_appends.add(now, record, read_back);
     }
 
     fn handle_tick(&mut self) {
@@ -225,13 +210,8 @@
 
     fn retry_appends(&mut self) {
         let now = self.parts.shared.clock.now();
-        self.pending_appends
-            .retain(|_, pending| !pending.read_back.is_closed());
-        for pending in self.pending_appends.values_mut() {
-            if now.saturating_sub(pending.sent) >= APPEND_RETRY {
-                pending.sent = now;
-                self.parts.writer.append(pending.record.clone());
-            }
+        for record in self.unconfirmed_appends.due(now) {
+            self.parts.writer.append(record);
         }
     }
 
@@ -251,10 +231,7 @@
     /// Records the parts of an event that the agent does not keep.
     fn observe_event(&mut self, event: &Event) {
         match event {
-            Event::AppendRejected { id, .. } => {
-                // The record has no effect, and waiting for it any longer neither.
-                self.pending_appends.remove(id);
-            }
+            Event::AppendRejected { id, .. } => self.unconfirmed_appends.reject(id),
             Event::Announced(announcement) => {
                 self.parts.upstream.set_announcement(announcement);
             }
@@ -281,9 +258,7 @@
     }
 
     fn observe_record(&mut self, offset: Offset, record: &Record) {
-        if let Some(pending) = self.pending_appends.remove(&record.id) {
-            let _ = pending.read_back.send(());
-        }
+        self.unconfirmed_appends.confirm(&record.id);
         if let Body::Move { from, units, .. } = &record.body
             && *from == self.parts.shared.vm
         {
--- a/crates/router/src/control/control_telemetry.rs
+++ b/crates/router/src/control/control_telemetry.rs
@@ -35,7 +35,7 @@
         let agent = &self.parts.agent;
         metrics.set_gauge("revision_declared", agent.declared_revision());
         metrics.set_gauge("revision_in_force", agent.fleet().revision());
-        metrics.set_gauge("log_next", self.parts.agent.fleet().next_offset());
+        metrics.set_gauge("log_next", agent.fleet().next_offset());
         metrics.set_gauge(
             "units_serving",
             self.parts.agent.serving_units().len() as u64,
--- a/crates/router/src/control/log_writer.rs
+++ b/crates/router/src/control/log_writer.rs
@@ -63,7 +63,7 @@
     }
 }
 
-/// Appends records on the thread of its own.
+/// Appends queued records on its own thread.
 struct AppendLoop {
     control: ControlSender,
     limits: AppendLimits,
@@ -71,10 +71,11 @@
     shared: Arc<Shared>,
 }
 
-/// A record as it is written: whole, or in parts.
-struct EncodedRecord {
-    id: RecordId,
-    parts: Vec<Vec<u8>>,
+/// Short records that are appended in one call, with their ids in the same order.
+#[derive(Default)]
+struct Batch {
+    ids: Vec<RecordId>,
+    records: Vec<Vec<u8>>,
 }
 
 impl AppendLoop {
@@ -82,21 +83,18 @@
     fn run(&self, rx: &Receiver<Record>) {
         while let Ok(first) = rx.recv() {
             let records = iter::once(first).chain(rx.try_iter());
-            let mut batch = Vec::new();
+            let mut batch = Batch::default();
             for record in records.take(MAX_QUEUED_RECORDS) {
                 let Ok(parts) = record.encode(self.limits.record_bytes) else {
                     log::error!("record {} cannot be serialised and is dropped", record.id);
                     continue;
                 };
-                let encoded = EncodedRecord {
-                    id: record.id,
-                    parts,
-                };
-                if encoded.bytes() > MAX_BATCHED_RECORD_BYTES {
+                if parts.iter().map(Vec::len).sum::<usize>() > MAX_BATCHED_RECORD_BYTES {
                     self.append_batch(&std::mem::take(&mut batch));
-                    self.append_alone(&encoded);
+                    self.append_alone(&record.id, &parts);
                 } else {
-                    batch.push(encoded);
+                    batch.ids.extend(parts.iter().map(|_| record.id.clone()));
+                    batch.records.extend(parts);
                 }
             }
             self.append_batch(&batch);
@@ -104,21 +102,16 @@
     }
 
     /// Appends short records in one call.
-    fn append_batch(&self, batch: &[EncodedRecord]) {
-        match batch {
+    fn append_batch(&self, batch: &Batch) {
+        match &batch.ids[..] {
             [] => {}
-            [record] => self.append_alone(record),
-            _ => {
-                let records: Vec<Vec<u8>> = batch
-                    .iter()
-                    .flat_map(|record| record.parts.iter().cloned())
-                    .collect();
-                let is_rejected =
-                    matches!(self.append(&records), Err(AppendError::Unacceptable(_)));
-                if is_rejected {
+            [id] => self.append_alone(id, &batch.records),
+            ids => {
+                let result = self.append(&batch.records);
+                if matches!(result, Err(AppendError::Unacceptable(_))) {
                     // One of the records is the cause. The others must not be given up with it.
-                    for record in batch {
-                        self.append_alone(record);
+                    for (id, record) in ids.iter().zip(&batch.records) {
+                        self.append_alone(id, std::slice::from_ref(record));
                     }
                 }
             }
@@ -126,12 +119,12 @@
     }
 
     /// Appends one record, in as few calls as possible.
-    fn append_alone(&self, record: &EncodedRecord) {
-        for call in split_by_size(&record.parts, self.limits.call_bytes) {
+    fn append_alone(&self, id: &RecordId, parts: &[Vec<u8>]) {
+        for call in split_by_size(parts, self.limits.call_bytes) {
             match self.append(call) {
                 Ok(()) => {}
                 Err(AppendError::Unacceptable(reason)) => {
-                    let id = record.id.clone();
+                    let id = id.clone();
                     let event = Event::AppendRejected { id, reason };
                     self.control.send_event(event);
                     return;
@@ -161,12 +154,6 @@
     }
 }
 
-impl EncodedRecord {
-    fn bytes(&self) -> usize {
-        self.parts.iter().map(Vec::len).sum()
-    }
-}
-
 /// Divides records into calls of less than `max_bytes` each.
 fn split_by_size(records: &[Vec<u8>], max_bytes: usize) -> Vec<&[Vec<u8>]> {
     let mut calls = Vec::new();
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod log_reader;
 mod log_writer;
 mod trace_writer;
+mod unconfirmed_appends;
 mod upstream_control;
 
 pub(crate) use control_loop::ControlLoop;
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -201,9 +201,6 @@
             }
         }
         let has_key = request.idempotency.is_some();
-        if dispatch.idempotent && !has_key {
-            state.memory.forget_lost(id);
-        }
         match state.memory.begin(now, unix_ms(), request) {
             BeginDecision::AlreadyRunning { first } => {
                 let (tx, watched) = oneshot::channel();
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -181,12 +181,12 @@
 
     /// Applies changes of the fleet state: suspicions of requests that crash upstreams, and the cold rate.
     pub(crate) fn apply_fleet_changes(&mut self, view: &View) {
-        let now_unix_ms = unix_ms();
         // Levels change with time as well as with records.
-        let is_due = now_unix_ms >= self.next_levels_unix_ms && !view.fleet.quarantine().is_empty();
+        let is_due = !view.fleet.quarantine().is_empty() && unix_ms() >= self.next_levels_unix_ms;
         if self.fleet_offset == view.fleet.next_offset() && !is_due {
             return;
         }
+        let now_unix_ms = unix_ms();
         self.fleet_offset = view.fleet.next_offset();
         self.next_levels_unix_ms = now_unix_ms.saturating_add(LEVELS_INTERVAL_MS);
         self.suspects
--- a/crates/router/src/home/messages.rs
+++ b/crates/router/src/home/messages.rs
@@ -71,6 +71,7 @@
             fingerprint: dispatch.fingerprint.clone(),
             key,
         }),
+        idempotent: dispatch.idempotent,
         unit: grant_of(dispatch).map(|(unit, _)| unit),
     }
 }
--- a/crates/upstream/src/process_check.rs
+++ b/crates/upstream/src/process_check.rs
@@ -18,9 +18,6 @@
 /// Time for which a new connection must hold before the process counts as running.
 const SETTLE_TIME: Duration = Duration::from_millis(20);
 
-/// Time limit for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 impl UpstreamClient {
     /// Reports whether the upstream process `instance` has ended: its address refuses connections, or another process answers
     /// there.
@@ -40,7 +37,7 @@
     /// Returns whether the process has ended, or `None` if the check does not tell.
     async fn check_process(&self, instance: &str) -> Option<bool> {
         let connecting = TcpStream::connect(self.address());
-        let stream = match timeout(CONNECT_TIMEOUT, connecting).await {
+        let stream = match timeout(self.settings().connect_timeout, connecting).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => return Some(true),
             Ok(Err(_)) | Err(_) => return None,
