Notice a lost read of operator declarations without another call

Callers saw requests handled as an older manifest says, and 401 for keys of the newest one, later than 3 s after an outage of the store.

Cause: a process waits up to 10 s for a change of the operators' topic, and 2.5 s more for the response. When the store has lost the reads of all processes, nothing told them unless one of their own calls failed or a record was appended that a peer had read. How late a manifest was depended on who happened to append during the outage, and on heartbeats after that.

Change: heartbeats and their answers carry up to which position, and how long ago, the sender knows all declarations. A process without such knowledge for 1 to 2 s, by its seed, checks the end of the topic with a read that does not wait, and so spares its peers the check. A read that lacks a declaration known to exist is ended and repeated. What is absent is stated only while all declarations up to 3 s ago are known.

--- a/crates/membership/src/action.rs
+++ b/crates/membership/src/action.rs
@@ -25,6 +25,8 @@
     AnswerCheckIn(CheckInAnswer),
     /// Appends a record to the log. The agent repeats the action until it reads the record back.
     Append(Record),
+    /// Checks where the declarations of operators end.
+    CheckDeclarations,
     /// Writes a decision to the log output of the process.
     #[serde(rename = "decide")]
     LogDecision(Decision),
@@ -55,6 +57,9 @@
         /// The peer.
         peer: VmId,
     },
+    /// Repeats the read of the declarations of operators that waits for changes, because it has not returned some that are
+    /// known to exist.
+    RepeatDeclarationReads,
     /// Sends a heartbeat to a witness.
     SendHeartbeat {
         /// The message.
--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -14,6 +14,7 @@
 use crate::Action;
 use crate::AgentSettings;
 use crate::Announcement;
+use crate::DeclarationFreshness;
 use crate::Event;
 use crate::LastReport;
 use crate::Lease;
@@ -40,6 +41,7 @@
 pub struct Agent {
     pub(crate) appends: PendingAppends,
     pub(crate) cfg: AgentSettings,
+    pub(crate) declaration_freshness: DeclarationFreshness,
     pub(crate) declaration_reads: ReadTimes,
     pub(crate) declarations: OperatorDeclarations,
     pub(crate) handovers: BTreeMap<Unit, String>,
@@ -73,6 +75,7 @@
         Self {
             appends: PendingAppends::new(cfg.seed, cfg.vm.clone()),
             cfg,
+            declaration_freshness: DeclarationFreshness::default(),
             declaration_reads: ReadTimes::default(),
             declarations: OperatorDeclarations::default(),
             handovers: BTreeMap::new(),
@@ -122,7 +125,21 @@
                 self.upstream.record_clock_sample(now, &instance, clock_ms);
             }
             Event::Declared(declarations) => self.set_declarations(now, declarations),
-            Event::DeclarationsRead { has_waited } => {
+            Event::DeclarationsChecked { duration, position } => {
+                let began = now.saturating_sub(duration);
+                self.declaration_freshness.record_end(began, position);
+            }
+            Event::DeclarationsRead {
+                duration,
+                has_waited,
+                position,
+            } => {
+                // A read that waited ends with the time for which it found no more changes.
+                let at = match has_waited {
+                    true => now,
+                    false => now.saturating_sub(duration),
+                };
+                self.declaration_freshness.record_read(at, position);
                 self.declaration_reads.record(now, has_waited);
                 self.declaration_reads.complete(now);
             }
@@ -173,6 +190,7 @@
             self.give_up(now, &record, actions);
         }
         self.end_overdue_reads(now, actions);
+        self.keep_declarations_fresh(now, actions);
         self.write_snapshot(now, actions);
         self.continue_log(now, actions);
         self.pull_from_any(now, actions);
@@ -231,12 +249,12 @@
         self.log.is_informed(now) || self.has_recent_contact(now)
     }
 
-    /// Reports whether the log answers and all of it has been read, so that what the configuration lacks is not in force.
+    /// Reports whether the log answers and all of it and of the declarations of operators has been read, so that what the configuration lacks is not in force.
     ///
     /// Contact with witnesses does not suffice: they may be as far behind.
     pub fn is_up_to_date(&self, now: Duration) -> bool {
         let has_unpublished = self.declared_revision() > self.log.fleet().revision();
-        self.log.is_healthy(now) && !has_unpublished
+        self.log.is_healthy(now) && self.knows_declarations(now) && !has_unpublished
     }
 
     /// Reports whether the process may answer a pull of a peer: its information comes from the log or
--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -12,12 +12,37 @@
 
 use crate::Action;
 use crate::Agent;
+use crate::FreshnessStep;
 use crate::OperatorDeclarations;
+use crate::times::DECLARATION_CHECK_AGE;
+use crate::times::DECLARATION_CHECK_SPREAD;
 use crate::times::DECLARATION_SETTLE_TIME;
 use crate::times::DECLARATION_TURN_DELAY;
 use crate::times::FIRST_MANIFEST_DELAY;
+use crate::times::UNINFORMED_AFTER;
 
 impl Agent {
+    /// Checks or repeats the reads of the declarations of operators when that is due.
+    pub(crate) fn keep_declarations_fresh(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let overdue_after = self.read_overdue_after();
+        let spread = DECLARATION_CHECK_SPREAD.mul_f64(seed_fraction(self.cfg.seed));
+        let max_age = DECLARATION_CHECK_AGE + spread;
+        let step = self
+            .declaration_freshness
+            .next_step(now, overdue_after, max_age);
+        actions.extend(step.map(|step| match step {
+            FreshnessStep::Check => Action::CheckDeclarations,
+            FreshnessStep::Repeat => Action::RepeatDeclarationReads,
+        }));
+    }
+
+    /// Reports whether all declarations of operators are known up to a recent time, if this process reads any.
+    pub(crate) fn knows_declarations(&self, now: Duration) -> bool {
+        let freshness = &self.declaration_freshness;
+        let is_recent = |until| now <= until + UNINFORMED_AFTER;
+        !freshness.is_in_use() || freshness.complete_until().is_some_and(is_recent)
+    }
+
     /// Records the current declarations of operators.
     pub(crate) fn set_declarations(&mut self, now: Duration, declarations: OperatorDeclarations) {
         if generation_of(declarations.position) > generation_of(self.declarations.position) {
@@ -159,6 +184,11 @@
     }
 }
 
+/// Maps the seed of a process to a fraction from 0 to 1.
+fn seed_fraction(seed: u64) -> f64 {
+    seed as f64 / u64::MAX as f64
+}
+
 /// Returns the revision of the manifest that a record publishes.
 fn published_revision(body: &Body) -> Option<u64> {
     match body {
--- a/crates/membership/src/agent_log.rs
+++ b/crates/membership/src/agent_log.rs
@@ -177,12 +177,17 @@
         self.witnesses = crate::Witnesses::default();
     }
 
+    /// Returns the time after which a read that has not returned what is known to exist counts as lost.
+    pub(crate) fn read_overdue_after(&self) -> Duration {
+        let members = u32::try_from(self.log.fleet().members().len()).unwrap_or(u32::MAX);
+        READ_OVERDUE_AFTER + READ_OVERDUE_PER_MEMBER.saturating_mul(members)
+    }
+
     /// Ends the reads that have not returned records which the log is known to hold.
     pub(crate) fn end_overdue_reads(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let pending = self.appends.len();
         let next = self.log.next_offset();
-        let members = u32::try_from(self.log.fleet().members().len()).unwrap_or(u32::MAX);
-        let age = READ_OVERDUE_AFTER + READ_OVERDUE_PER_MEMBER.saturating_mul(members);
+        let age = self.read_overdue_after();
         if self.overdue_reads.are_due(now, age, next, pending) {
             actions.push(Action::EndOverdueReads { age });
         }
--- a/crates/membership/src/agent_witness.rs
+++ b/crates/membership/src/agent_witness.rs
@@ -32,6 +32,9 @@
             return;
         };
         self.overdue_reads.record_peer(heartbeat.next);
+        if let Some(known) = heartbeat.declarations {
+            self.declaration_freshness.record_peer(now, known);
+        }
         let contact = self
             .watched_members
             .record_heartbeat(now, self.log.fleet(), heartbeat);
@@ -44,6 +47,7 @@
         }
         let answer = HeartbeatAnswer {
             contact,
+            declarations: self.declaration_freshness.known(now),
             incarnation: heartbeat.incarnation,
             next: self.log.next_offset(),
             renewal,
@@ -66,6 +70,9 @@
             self.lease.record_answer(answer);
         }
         self.overdue_reads.record_peer(answer.next);
+        if let Some(known) = answer.declarations {
+            self.declaration_freshness.record_peer(now, known);
+        }
         if answer.next <= self.log.next_offset() {
             self.schedule.behind_since = None;
             return;
@@ -119,6 +126,7 @@
                 continue;
             };
             let heartbeat = Heartbeat {
+                declarations: self.declaration_freshness.known(now),
                 from: self.cfg.vm.clone(),
                 incarnation,
                 next: self.log.fleet().next_offset(),
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ids::Generation;
 use ids::Offset;
@@ -52,10 +53,23 @@
     },
     /// The current declarations of operators outside the log.
     Declared(OperatorDeclarations),
+    /// It was checked where the declarations of operators end.
+    DeclarationsChecked {
+        /// Time that the check took.
+        duration: Duration,
+        /// Position after the newest declaration.
+        position: Offset,
+    },
     /// All declarations of operators outside the log were read. Changes follow as [`Event::Declared`].
     DeclarationsRead {
+        /// Time that the read took.
+        #[serde(default)]
+        duration: Duration,
         /// Whether the read waited for a change.
         has_waited: bool,
+        /// Position after the newest declaration.
+        #[serde(default)]
+        position: Offset,
     },
     /// No request runs or will run on units that a `Drain` named.
     Drained {
--- a/crates/membership/src/heartbeat.rs
+++ b/crates/membership/src/heartbeat.rs
@@ -6,9 +6,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::KnownDeclarations;
+
 /// A member's heartbeat to one of its witnesses, which requests a renewal of the member's lease.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Heartbeat {
+    /// What the sender knows of the declarations of operators, `None` if nothing.
+    #[serde(default)]
+    pub declarations: Option<KnownDeclarations>,
     /// The member.
     pub from: VmId,
     /// Incarnation of the member.
--- a/crates/membership/src/heartbeat_answer.rs
+++ b/crates/membership/src/heartbeat_answer.rs
@@ -6,12 +6,17 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::KnownDeclarations;
+
 /// A witness's answer to a heartbeat.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HeartbeatAnswer {
     /// Whether the witness still has contact with the member. Once the witness suspects the member,
     /// this stays false for the member's incarnation.
     pub contact: bool,
+    /// What the sender knows of the declarations of operators, `None` if nothing.
+    #[serde(default)]
+    pub declarations: Option<KnownDeclarations>,
     /// Incarnation of the member that the answer is for.
     pub incarnation: Incarnation,
     /// Offset of the next record that the witness will read.
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -70,6 +70,17 @@
 /// Time after which the next member in turn publishes the declarations of operators in the log.
 pub(crate) const DECLARATION_TURN_DELAY: Duration = Duration::from_millis(150);
 
+/// Shortest age of the knowledge of where the declarations of operators end after which a process checks, unless a peer has
+/// checked.
+pub(crate) const DECLARATION_CHECK_AGE: Duration = Duration::from_millis(1_000);
+
+/// Time by which that age differs between processes. As long as the time between two heartbeats, so that what the first ones
+/// find reaches others before they check.
+pub(crate) const DECLARATION_CHECK_SPREAD: Duration = HEARTBEAT_INTERVAL;
+
+/// Time between two checks of where the declarations of operators end.
+pub(crate) const DECLARATION_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Maximum number of ranges of a member whose upstream polls its grants. More would not fit into a check-in answer.
 pub(crate) const MAX_RANGES: usize = 165;
 
--- a/crates/membership/tests/evacuation_time.rs
+++ b/crates/membership/tests/evacuation_time.rs
@@ -24,7 +24,12 @@
 
 /// Reads declarations at second `at`, in which the zone of the process is out of service or not.
 fn read(agent: &mut Agent, at: u64, has_waited: bool, is_out: bool) {
-    agent.handle(seconds(at), Event::DeclarationsRead { has_waited });
+    let read = Event::DeclarationsRead {
+        duration: Duration::ZERO,
+        has_waited,
+        position: at,
+    };
+    agent.handle(seconds(at), read);
     let zones_out: BTreeSet<_> = is_out.then(|| "z".to_owned()).into_iter().collect();
     let declared = OperatorDeclarations {
         position: at,
--- a/crates/membership/tests/overdue_reads.rs
+++ b/crates/membership/tests/overdue_reads.rs
@@ -23,6 +23,7 @@
 fn answer(next: u64) -> Event {
     Event::HeartbeatAnswered(HeartbeatAnswer {
         contact: true,
+        declarations: None,
         incarnation: 1,
         next,
         renewal: true,
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -24,6 +24,7 @@
 use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
 
+use crate::DeclarationReads;
 use crate::control::ControlMessage;
 use crate::control::IncomingDatagram;
 use crate::control::LogWriter;
@@ -55,6 +56,8 @@
     pub(crate) agent: Agent,
     pub(crate) handovers: Arc<IncomingHandovers>,
     pub(crate) cursor: Arc<AtomicU64>,
+    /// Reads of operator declarations, `None` if operators publish them in the log.
+    pub(crate) declaration_reads: Option<Arc<dyn DeclarationReads>>,
     pub(crate) datagrams: DatagramSocket,
     pub(crate) home: Arc<Home>,
     pub(crate) log: Arc<dyn Log>,
@@ -281,6 +284,11 @@
             Action::AnswerCheckIn(answer) => self.answer_check_in(answer),
             Action::Append(record) => self.append_agent_record(record),
             Action::LogDecision(decision) => self.log_decision(&decision),
+            Action::CheckDeclarations => {
+                if let Some(reads) = &self.parts.declaration_reads {
+                    reads.check();
+                }
+            }
             Action::Drain { units } => {
                 let now = self.parts.shared.clock.now();
                 self.draining
@@ -306,6 +314,13 @@
                 from,
                 peer,
             } => self.parts.peer_client.pull(peer, address, from),
+            Action::RepeatDeclarationReads => {
+                let reads = self.parts.declaration_reads.iter();
+                reads.for_each(|reads| reads.repeat());
+                log::warn!(
+                    "a read of operator declarations was lost, since newer ones exist: it is repeated"
+                );
+            }
             Action::SendHeartbeat { heartbeat, to } => {
                 self.parts.datagrams.send_heartbeat(heartbeat, to)
             }
--- a/crates/router/src/control/datagram_socket.rs
+++ b/crates/router/src/control/datagram_socket.rs
@@ -7,6 +7,7 @@
 use membership::Event;
 use membership::Heartbeat;
 use membership::HeartbeatAnswer;
+use membership::KnownDeclarations;
 use tokio::net::UdpSocket;
 use wire::Datagram;
 use wire::MemberLoads;
@@ -95,6 +96,7 @@
         Some(IncomingDatagram::Event(Event::Heartbeat {
             address,
             heartbeat: Heartbeat {
+                declarations: heartbeat.declarations.map(known_declarations),
                 from: heartbeat.vm,
                 incarnation: heartbeat.incarnation,
                 next: heartbeat.offset,
@@ -127,6 +129,7 @@
             sequence: heartbeat.sequence,
             sent_ms: u64::try_from(sent).unwrap_or(u64::MAX),
             offset: heartbeat.next,
+            declarations: heartbeat.declarations.map(wire_declarations),
         });
         self.send(&datagram, to);
     }
@@ -141,6 +144,7 @@
             contact: answer.contact,
             renewal: answer.renewal,
             offset: answer.next,
+            declarations: answer.declarations.map(wire_declarations),
         });
         self.send(&datagram, to);
     }
@@ -162,6 +166,7 @@
 fn heartbeat_answered(answer: wire::HeartbeatAnswer) -> Event {
     Event::HeartbeatAnswered(HeartbeatAnswer {
         contact: answer.contact,
+        declarations: answer.declarations.map(known_declarations),
         incarnation: answer.incarnation,
         next: answer.offset,
         renewal: answer.renewal,
@@ -170,3 +175,17 @@
         witness_incarnation: answer.witness_incarnation,
     })
 }
+
+fn known_declarations(declarations: wire::Declarations) -> KnownDeclarations {
+    KnownDeclarations {
+        age_ms: declarations.age_ms,
+        position: declarations.position,
+    }
+}
+
+fn wire_declarations(known: KnownDeclarations) -> wire::Declarations {
+    wire::Declarations {
+        age_ms: known.age_ms,
+        position: known.position,
+    }
+}
--- a/crates/router/src/environment/declaration_sink.rs
+++ b/crates/router/src/environment/declaration_sink.rs
@@ -1,7 +1,9 @@
 //! Receiver of operator declarations.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use ids::Offset;
 use membership::Event;
 use membership::OperatorDeclarations;
 use telemetry::Dependency;
@@ -35,13 +37,22 @@
         self.shared.record_invalid_declarations(problems);
     }
 
-    /// Records that all operator declarations were read. Changes are passed on afterwards. `has_waited` tells whether the
-    /// read waited for a change, so that its answer was sent because of one or because of none in time.
-    pub fn report_read(&self, has_waited: bool) {
+    /// Records where the declarations ended when they were last checked, and how long the check took.
+    pub fn report_end(&self, position: Offset, duration: Duration) {
+        self.control
+            .send_event(Event::DeclarationsChecked { duration, position });
+    }
+
+    /// Records that all operator declarations before `position` were read. Changes are passed on afterwards. `has_waited` tells
+    /// whether the read waited for a change, so that its answer was sent because of one or because of none in time.
+    pub fn report_read(&self, position: Offset, has_waited: bool, duration: Duration) {
         self.shared
             .record_dependency_answer(Dependency::Operators, "");
-        self.control
-            .send_event(Event::DeclarationsRead { has_waited });
+        self.control.send_event(Event::DeclarationsRead {
+            duration,
+            has_waited,
+            position,
+        });
     }
 
     /// Records that operator declarations cannot be read.
--- a/crates/router/src/environment/environment_trait.rs
+++ b/crates/router/src/environment/environment_trait.rs
@@ -8,6 +8,7 @@
 use records::Log;
 use upstream::Dialect;
 
+use crate::DeclarationReads;
 use crate::DeclarationSink;
 use crate::UpstreamGrants;
 use crate::UpstreamMessage;
@@ -20,12 +21,15 @@
     /// Returns the log shared by the fleet.
     fn log(&self) -> Arc<dyn Log>;
 
-    /// Starts to pass operator declarations to `sink`.
+    /// Starts to pass operator declarations to `sink`, and returns the control of the reads.
     ///
     /// # Errors
     ///
     /// Returns an error when the system cannot start a thread.
-    fn watch_declarations(&self, sink: DeclarationSink) -> anyhow::Result<()>;
+    fn watch_declarations(
+        &self,
+        sink: DeclarationSink,
+    ) -> anyhow::Result<Arc<dyn DeclarationReads>>;
 
     /// Parses a message from the local upstream.
     ///
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,6 +25,7 @@
 mod shared;
 mod view;
 
+pub use environment::DeclarationReads;
 pub use environment::DeclarationSink;
 pub use environment::Environment;
 pub use environment::RangeGrant;
--- a/crates/router/src/process/control_thread.rs
+++ b/crates/router/src/process/control_thread.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use wire::Secret;
 
+use crate::DeclarationReads;
 use crate::control::ControlLoop;
 use crate::control::ControlMessage;
 use crate::control::ControlParts;
@@ -34,6 +35,7 @@
     pub(crate) handovers: Arc<IncomingHandovers>,
     pub(crate) control: ControlSender,
     pub(crate) cursor: Arc<AtomicU64>,
+    pub(crate) declaration_reads: Option<Arc<dyn DeclarationReads>>,
     pub(crate) datagrams: std::net::UdpSocket,
     pub(crate) home: Arc<Home>,
     pub(crate) log: Arc<dyn Log>,
@@ -70,6 +72,7 @@
             agent: self.agent,
             handovers: self.handovers,
             cursor: self.cursor,
+            declaration_reads: self.declaration_reads,
             datagrams: DatagramSocket::new(self.secret, Arc::clone(&self.shared), socket),
             home: self.home,
             log: self.log,
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -145,10 +145,11 @@
         stop: &CancellationToken,
     ) -> Result<(impl Future<Output = Result<()>>, JoinHandle<()>)> {
         let log = self.log(settings);
-        if let Some(environment) = &self.environment {
-            let sink = DeclarationSink::new(self.control.clone(), Arc::clone(&self.shared));
-            environment.watch_declarations(sink)?;
-        }
+        let sink = DeclarationSink::new(self.control.clone(), Arc::clone(&self.shared));
+        let environment = self.environment.as_ref();
+        let declaration_reads = environment
+            .map(|environment| environment.watch_declarations(sink))
+            .transpose()?;
         let cursor = Arc::new(AtomicU64::new(1));
         LogReader::start(
             self.control.clone(),
@@ -194,6 +195,7 @@
             handovers: self.handovers,
             control: self.control,
             cursor,
+            declaration_reads,
             datagrams: listeners.datagrams,
             home: self.home,
             log,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -54,6 +54,7 @@
 pub use message::Barred;
 pub use message::Call;
 pub use message::Cancel;
+pub use message::Declarations;
 pub use message::Dispatch;
 pub use message::Handover;
 pub use message::HandoverReply;
--- a/crates/wire/src/message/heartbeat.rs
+++ b/crates/wire/src/message/heartbeat.rs
@@ -5,6 +5,8 @@
 use ids::VmId;
 use prost::Message;
 
+use crate::message::Declarations;
+
 /// Requests that a witness renew the lease of a member.
 #[derive(Clone, PartialEq, Message)]
 pub struct Heartbeat {
@@ -23,4 +25,7 @@
     /// Offset up to which the member has read the log.
     #[prost(uint64, tag = "5")]
     pub offset: Offset,
+    /// What the member knows of the declarations of operators.
+    #[prost(message, optional, tag = "6")]
+    pub declarations: Option<Declarations>,
 }
--- a/crates/wire/src/message/heartbeat_answer.rs
+++ b/crates/wire/src/message/heartbeat_answer.rs
@@ -5,6 +5,8 @@
 use ids::VmId;
 use prost::Message;
 
+use crate::message::Declarations;
+
 /// Answers a heartbeat.
 #[derive(Clone, PartialEq, Message)]
 pub struct HeartbeatAnswer {
@@ -29,4 +31,7 @@
     /// Offset up to which the witness has read the log.
     #[prost(uint64, tag = "8")]
     pub offset: Offset,
+    /// What the witness knows of the declarations of operators.
+    #[prost(message, optional, tag = "9")]
+    pub declarations: Option<Declarations>,
 }
--- a/crates/wire/tests/wire/datagrams.rs
+++ b/crates/wire/tests/wire/datagrams.rs
@@ -9,6 +9,7 @@
 use rand::rngs::SmallRng;
 use wire::Datagram;
 use wire::DatagramError;
+use wire::Declarations;
 use wire::Heartbeat;
 use wire::HeartbeatAnswer;
 use wire::MAX_DATAGRAM_BYTES;
@@ -19,6 +20,13 @@
 
 use crate::link_pair::secret;
 
+fn declarations() -> Declarations {
+    Declarations {
+        age_ms: 1_500,
+        position: 1_000_000,
+    }
+}
+
 fn heartbeat() -> Datagram {
     Datagram::Heartbeat(Heartbeat {
         vm: "vm-123".to_owned(),
@@ -26,6 +34,7 @@
         sequence: 86_400,
         sent_ms: 86_400_000,
         offset: 1_000_000,
+        declarations: Some(declarations()),
     })
 }
 
@@ -38,6 +47,7 @@
         contact: true,
         renewal: true,
         offset: 1_000_000,
+        declarations: Some(declarations()),
     })
 }
 
