Put a declared manifest into force at each process that has read it

Callers saw 401 or a former route at processes whose operators' declarations were read in time.

Cause: a manifest took effect by its record in the fleet's log only. After its read it waited for the turn of a publisher, for the publisher's append, which may still be busy with one that an outage left open, and for a second, paced read by each process. Each of these waits is up to seconds long.

Change: FleetCopy, which traffic threads use, puts the declared manifest into force if it is newer and valid; members, units and owners stay those of the log. Requests state the revision at their entry, so that a home that has read less does not refuse a key that the entry knows. The record still serves processes that cannot read the declarations, and the units of new services and workspaces.

--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -58,8 +58,15 @@
         Ok(())
     }
 
-    /// Puts a manifest into force. Manifests are ordered by revision instead of by a base version.
     fn publish_manifest(&mut self, offset: Offset, manifest: Manifest) -> Result<(), String> {
+        self.replace_manifest(manifest)?;
+        self.plans_version = offset;
+        self.workspaces_version = offset;
+        Ok(())
+    }
+
+    /// Puts a manifest into force, and keeps the versions. Manifests are ordered by revision instead of by a base version.
+    pub(crate) fn replace_manifest(&mut self, manifest: Manifest) -> Result<(), String> {
         if manifest.revision <= self.revision {
             return Err(format!(
                 "revision {} is not greater than {}, which is in force: publish a higher revision",
@@ -82,10 +89,8 @@
             .collect();
         self.withdrawn.clear();
         self.plans = plans;
-        self.plans_version = offset;
         self.revision = revision;
         self.workspaces = workspaces;
-        self.workspaces_version = offset;
         Ok(())
     }
 
--- a/crates/cluster/src/fleet.rs
+++ b/crates/cluster/src/fleet.rs
@@ -226,10 +226,12 @@
 
     /// Reports whether a request may run under a tenant key whose hash begins with `prefix`.
     ///
-    /// Another process has accepted the key after it had read the log up to `offset`. If this fleet has read less of
-    /// the log, the decision of that process is accepted.
-    pub fn accepts_key(&self, prefix: &str, offset: Offset) -> bool {
-        self.next_offset < offset || self.configuration.has_key(prefix)
+    /// Another process has accepted the key after it had read the log up to `offset` and the manifest with `revision`. If this
+    /// fleet has read less, the decision of that process is accepted.
+    pub fn accepts_key(&self, prefix: &str, offset: Offset, revision: u64) -> bool {
+        self.next_offset < offset
+            || self.revision() < revision
+            || self.configuration.has_key(prefix)
     }
 
     /// Returns the workspace of a tenant key that is in force.
--- a/crates/cluster/tests/outcomes.rs
+++ b/crates/cluster/tests/outcomes.rs
@@ -113,12 +113,12 @@
     let behind = transcript.log.fleet.clone();
     transcript.append("key", issue);
     let offset = transcript.log.fleet.next_offset();
-    assert!(behind.accepts_key(hash.prefix(), offset));
-    assert!(!behind.accepts_key(hash.prefix(), behind.next_offset()));
-    assert!(transcript.log.fleet.accepts_key(hash.prefix(), offset));
+    assert!(behind.accepts_key(hash.prefix(), offset, 0));
+    assert!(!behind.accepts_key(hash.prefix(), behind.next_offset(), 0));
+    assert!(transcript.log.fleet.accepts_key(hash.prefix(), offset, 0));
 
     transcript.append("withdrawal", Body::WithdrawKey { hash: hash.clone() });
-    assert!(!transcript.log.fleet.accepts_key(hash.prefix(), offset));
+    assert!(!transcript.log.fleet.accepts_key(hash.prefix(), offset, 0));
 }
 
 #[test]
--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -6,6 +6,7 @@
 use cluster::DRIFT_MARGIN;
 use cluster::Fleet;
 use cluster::LoadView;
+use config::Manifest;
 use ids::Fence;
 use ids::Offset;
 use ids::Unit;
@@ -221,9 +222,14 @@
         self.log.fleet()
     }
 
+    /// Returns the newest manifest that operators have declared, or `None` before the first.
+    pub fn declared_manifest(&self) -> Option<&Manifest> {
+        self.declarations.manifest.as_deref()
+    }
+
     /// Returns the revision of the newest manifest that operators have declared, or 0 before the first.
     pub fn declared_revision(&self) -> u64 {
-        let manifest = self.declarations.manifest.as_ref();
+        let manifest = self.declared_manifest();
         manifest.map_or(0, |manifest| manifest.revision)
     }
 
@@ -253,8 +259,7 @@
     ///
     /// Contact with witnesses does not suffice: they may be as far behind.
     pub fn is_up_to_date(&self, now: Duration) -> bool {
-        let has_unpublished = self.declared_revision() > self.log.fleet().revision();
-        self.log.is_healthy(now) && self.knows_declarations(now) && !has_unpublished
+        self.log.is_healthy(now) && self.knows_declarations(now)
     }
 
     /// Reports whether the process may answer a pull of a peer: its information comes from the log or
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -360,7 +360,10 @@
         let agent = &self.parts.agent;
         let current = self.parts.shared.view();
         let clock = self.parts.shared.clock;
-        let fleet = self.fleet_copy.refresh(agent.fleet(), now, || clock.now());
+        let declared = agent.declared_manifest();
+        let fleet = self
+            .fleet_copy
+            .refresh(agent.fleet(), declared, now, || clock.now());
         let serving = if *current.serving == *agent.serving_units() {
             Arc::clone(&current.serving)
         } else {
--- a/crates/router/src/control/control_telemetry.rs
+++ b/crates/router/src/control/control_telemetry.rs
@@ -34,7 +34,10 @@
         metrics.set_gauge("upstream_limit_millis", millis);
         let agent = &self.parts.agent;
         metrics.set_gauge("revision_declared", agent.declared_revision());
-        metrics.set_gauge("revision_in_force", agent.fleet().revision());
+        metrics.set_gauge(
+            "revision_in_force",
+            self.parts.shared.view().fleet.revision(),
+        );
         metrics.set_gauge("log_next", agent.fleet().next_offset());
         metrics.set_gauge(
             "units_serving",
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -306,6 +306,7 @@
             alone: false,
             hedge: false,
             entry_offset: view.fleet.next_offset(),
+            entry_revision: view.fleet.revision(),
             attempt: 0,
             target_latency_ms: milliseconds(request.target_latency),
             tenant_key_hash: credentials.map(|credentials| credentials.hash.prefix().to_owned()),
--- a/crates/router/src/entry/keyed_router.rs
+++ b/crates/router/src/entry/keyed_router.rs
@@ -93,7 +93,9 @@
         let deadline = admitted.head().deadline;
         let remaining = deadline.saturating_sub(self.home_client.shared.clock.now());
         dispatch.deadline_ms = milliseconds(remaining);
-        dispatch.entry_offset = self.home_client.shared.view().fleet.next_offset();
+        let view = self.home_client.shared.view();
+        dispatch.entry_offset = view.fleet.next_offset();
+        dispatch.entry_revision = view.fleet.revision();
         if let Some((unit, fence)) = &target.grant {
             dispatch.unit = Some(unit.to_string());
             dispatch.fence = *fence;
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -97,6 +97,7 @@
                 arrived_at: self.arrived_at,
                 deadline: self.deadline,
                 entry_offset: self.dispatch.entry_offset,
+                entry_revision: self.dispatch.entry_revision,
                 fingerprint: self.dispatch.fingerprint.clone(),
                 grant: grant_of(&self.dispatch),
                 is_hedge: self.dispatch.hedge,
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -62,7 +62,7 @@
     /// The request that starts next, blocked for now by requests that run.
     pub(crate) blocked: Option<QueuedRequest<WaitingRequest>>,
     /// Offset of the fleet state that was last applied.
-    fleet_offset: Offset,
+    fleet_version: (Offset, u64),
     serving: Arc<BTreeMap<Unit, Fence>>,
     /// Upstream processes that are about to stop, with the time from which each gets no more requests.
     pub(crate) stopping: BTreeMap<UpstreamProcess, Duration>,
@@ -139,7 +139,7 @@
             units: UnitTracker::new(policy.load_memory(), policy.weighs_request_time),
             start_rate: StartRateLimiter::default(),
             blocked: None,
-            fleet_offset: 0,
+            fleet_version: (0, 0),
             stopping: BTreeMap::new(),
             serving: Arc::default(),
             limiter: new_limiter(now, limits, policy.limit),
@@ -183,11 +183,12 @@
     pub(crate) fn apply_fleet_changes(&mut self, view: &View) {
         // Levels change with time as well as with records.
         let is_due = !view.fleet.quarantine().is_empty() && unix_ms() >= self.next_levels_unix_ms;
-        if self.fleet_offset == view.fleet.next_offset() && !is_due {
+        let fleet_version = (view.fleet.next_offset(), view.fleet.revision());
+        if self.fleet_version == fleet_version && !is_due {
             return;
         }
         let now_unix_ms = unix_ms();
-        self.fleet_offset = view.fleet.next_offset();
+        self.fleet_version = fleet_version;
         self.next_levels_unix_ms = now_unix_ms.saturating_add(LEVELS_INTERVAL_MS);
         self.suspects
             .set_fleet_levels(suspicion_levels(&view.fleet, now_unix_ms));
--- a/crates/router/src/home/request_starter.rs
+++ b/crates/router/src/home/request_starter.rs
@@ -115,8 +115,9 @@
             return Err(Reason::ZoneOut);
         }
         let fleet = &self.view.fleet;
+        let (offset, revision) = (waiting.entry_offset, waiting.entry_revision);
         let tenant_key = waiting.tenant_key.as_ref();
-        if tenant_key.is_some_and(|prefix| !fleet.accepts_key(prefix, waiting.entry_offset)) {
+        if tenant_key.is_some_and(|prefix| !fleet.accepts_key(prefix, offset, revision)) {
             return Err(match self.view.is_up_to_date {
                 true => Reason::KeyWithdrawn,
                 false => Reason::Uninformed,
--- a/crates/router/src/home/waiting_request.rs
+++ b/crates/router/src/home/waiting_request.rs
@@ -21,6 +21,8 @@
     pub(crate) deadline: Duration,
     /// Offset up to which the entry had read the log when it accepted the tenant key.
     pub(crate) entry_offset: Offset,
+    /// Revision of the manifest that was in force at the entry, or 0 for none.
+    pub(crate) entry_revision: u64,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) grant: Option<(Unit, Fence)>,
     /// Whether another home may be running the same request.
--- a/crates/wire/src/message/dispatch.rs
+++ b/crates/wire/src/message/dispatch.rs
@@ -93,4 +93,7 @@
     /// milliseconds. 0 otherwise.
     #[prost(uint64, tag = "27")]
     pub returned_after_ms: u64,
+    /// Revision of the manifest that was in force at the entry, or 0 if there is none.
+    #[prost(uint64, tag = "28")]
+    pub entry_revision: u64,
 }
