--- a/crates/cluster/src/fleet.rs
+++ b/crates/cluster/src/fleet.rs
@@ -150,7 +150,18 @@
     ///
     /// The first member writes it. Each of the others writes it if those before it have not.
     pub fn ranked_snapshot_writers(&self) -> Vec<&VmId> {
-        let subject = hash(&format!("snapshot:{}", self.progress.through()));
+        self.rank_members(&format!("snapshot:{}", self.progress.through()))
+    }
+
+    /// Returns the members in the order in which they should publish the next declarations of operators.
+    ///
+    /// Neighbours by name often share an availability zone, and thus faults. They are not neighbours in this order.
+    pub fn ranked_publishers(&self) -> Vec<&VmId> {
+        self.rank_members(&format!("declarations:{}", self.config_version()))
+    }
+
+    fn rank_members(&self, subject: &str) -> Vec<&VmId> {
+        let subject = hash(subject);
         let mut ranked: Vec<(f64, &VmId)> = self
             .members()
             .keys()
--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -51,7 +51,6 @@
         if self.declarations != declarations {
             self.declarations = declarations;
             self.rejected_declarations.zones.clear();
-            self.schedule.unpublished_since = None;
         }
     }
 
@@ -66,7 +65,13 @@
             self.schedule.unpublished_since = None;
             return;
         }
-        let since = *self.schedule.unpublished_since.get_or_insert(now);
+        // Declarations that follow each other do not postpone the turn, and one that was published begins the next.
+        let version = self.log.fleet().config_version();
+        let since = match self.schedule.unpublished_since {
+            Some((since, known)) if known == version => since,
+            _ => now,
+        };
+        self.schedule.unpublished_since = Some((since, version));
         if now < self.publication_time(since) {
             return;
         }
@@ -147,12 +152,9 @@
     /// Returns the time of this process's turn to publish declarations that the log has lacked since `since`.
     fn publication_time(&self, since: Duration) -> Duration {
         let fleet = self.log.fleet();
-        let members = fleet.members();
-        let position = members.keys().position(|vm| *vm == self.cfg.vm);
-        let first_turn =
-            usize::try_from(self.declared_revision()).unwrap_or_default() % members.len().max(1);
-        let position = position.unwrap_or(members.len());
-        let turn = (position + first_turn) % members.len().max(1);
+        let publishers = fleet.ranked_publishers();
+        let turn = publishers.iter().position(|vm| **vm == self.cfg.vm);
+        let turn = turn.unwrap_or(publishers.len());
         let first_at = match fleet.revision() {
             0 => since.max(FIRST_MANIFEST_DELAY),
             _ => since,
--- a/crates/membership/src/schedule.rs
+++ b/crates/membership/src/schedule.rs
@@ -26,8 +26,8 @@
     pub(crate) next_pull: Duration,
     /// Time of the next replacement of witnesses.
     pub(crate) next_rewitness: Duration,
-    /// Time since which the log has lacked the current declarations of operators.
-    pub(crate) unpublished_since: Option<Duration>,
+    /// Time since which the log has lacked declarations of operators, and the version of the configuration that it holds.
+    pub(crate) unpublished_since: Option<(Duration, Offset)>,
     /// Time since which a new snapshot has been due.
     pub(crate) snapshot_missing_since: Option<Duration>,
 }
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -68,7 +68,7 @@
 pub(crate) const DECLARATION_SETTLE_TIME: Duration = Duration::from_secs(10);
 
 /// Time after which the next member in turn publishes the declarations of operators in the log.
-pub(crate) const DECLARATION_TURN_DELAY: Duration = Duration::from_millis(150);
+pub(crate) const DECLARATION_TURN_DELAY: Duration = Duration::from_millis(300);
 
 /// Shortest age of the knowledge of where the declarations of operators end after which a process checks, unless a peer has
 /// checked.
