State how old the knowledge of operator declarations is behind each decision

Hypotheses about a late manifest could not be told apart: neither lines nor metrics said when a process had last known all declarations, or which revision it had read but not seen in the log. Now beliefs carry declarations_known_ms_ago, a manifest that is read logs manifest_declared, and the gauges revision_recorded and declarations_age_ms stand beside revision_declared and revision_in_force.

--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -36,11 +36,17 @@
         }));
     }
 
-    /// Reports whether all declarations of operators are known up to a recent time, if this process reads any.
+    /// Returns the latest time until which this process knows all declarations of operators, or `None` before it has read any.
+    pub fn knows_declarations_until(&self) -> Option<Duration> {
+        self.declaration_freshness.complete_until()
+    }
+
+    /// Reports whether all declarations of operators are known until a recent time, if this process has read any.
     pub(crate) fn knows_declarations(&self, now: Duration) -> bool {
-        let freshness = &self.declaration_freshness;
-        let is_recent = |until| now <= until + UNINFORMED_AFTER;
-        !freshness.is_in_use() || freshness.complete_until().is_some_and(is_recent)
+        let until = self.knows_declarations_until();
+        until.is_none_or(|until| {
+            now <= until + UNINFORMED_AFTER && !self.declaration_freshness.lacks_some()
+        })
     }
 
     /// Records the current declarations of operators.
--- a/crates/membership/src/agent_report.rs
+++ b/crates/membership/src/agent_report.rs
@@ -28,6 +28,12 @@
             self.last_report.is_informed = informed;
             actions.push(Action::LogDecision(Decision::informed_changed(informed)));
         }
+        let revision = self.declared_revision();
+        if revision != self.last_report.declared_revision {
+            self.last_report.declared_revision = revision;
+            let declared = Decision::ManifestDeclared { revision };
+            actions.push(Action::LogDecision(declared));
+        }
         let fleet = self.log.fleet();
         let versions = (fleet.plans_version(), fleet.workspaces_version());
         if versions != self.last_report.versions {
--- a/crates/membership/src/decision.rs
+++ b/crates/membership/src/decision.rs
@@ -31,6 +31,11 @@
         /// Offset of the workspaces in force.
         workspaces: Offset,
     },
+    /// Operators have declared a manifest, which is in force at this process if it is valid.
+    ManifestDeclared {
+        /// Revision of the manifest.
+        revision: u64,
+    },
     /// The process can no longer know which keys are withdrawn, and refuses every request.
     Uninformed,
     /// The process is informed again.
@@ -135,6 +140,7 @@
             Self::LeaseEnded { .. } => "lease_ended",
             Self::LeaseHeld { .. } => "lease_held",
             Self::Left { .. } => "left",
+            Self::ManifestDeclared { .. } => "manifest_declared",
             Self::Moved { .. } => "moved",
             Self::RecordSkipped { .. } => "record_skipped",
             Self::Suspected { .. } => "suspected",
--- a/crates/membership/src/declaration_freshness.rs
+++ b/crates/membership/src/declaration_freshness.rs
@@ -16,6 +16,8 @@
 pub(crate) struct DeclarationFreshness {
     /// Time since which declarations that this process has not read have been known to exist.
     behind_since: Option<Duration>,
+    /// Latest time until which this process knows all declarations, `None` before the first read.
+    complete_until: Option<Duration>,
     /// Latest known end of the declarations, and the latest time at which they are known to have ended there.
     end: Option<(Offset, Duration)>,
     next_check: Duration,
@@ -46,6 +48,11 @@
             Some((known, _)) if *known > position => {}
             end => *end = Some((position, at)),
         }
+        if let Some((end, at)) = self.end
+            && self.position >= Some(end)
+        {
+            self.complete_until = self.complete_until.max(Some(at));
+        }
     }
 
     /// Records what a peer knows.
@@ -64,15 +71,14 @@
         })
     }
 
-    /// Returns the latest time up to which this process knows all declarations, or `None` if it has read none or lacks some.
+    /// Returns the latest time until which this process knows all declarations, or `None` before the first read.
     pub(crate) fn complete_until(&self) -> Option<Duration> {
-        let (end, at) = self.end?;
-        (self.position >= Some(end)).then_some(at)
+        self.complete_until
     }
 
-    /// Reports whether this process reads declarations.
-    pub(crate) fn is_in_use(&self) -> bool {
-        self.position.is_some()
+    /// Reports whether declarations exist that this process has not read.
+    pub(crate) fn lacks_some(&self) -> bool {
+        self.position < self.end.map(|(end, _)| end)
     }
 
     /// Returns the step that is due, at most once in its interval. Declarations that are known to exist may be missing for
@@ -83,15 +89,15 @@
         overdue_after: Duration,
         max_age: Duration,
     ) -> Option<FreshnessStep> {
-        self.position?;
-        let Some(complete_until) = self.complete_until() else {
+        let complete_until = self.complete_until?;
+        if self.lacks_some() {
             let since = *self.behind_since.get_or_insert(now);
             let is_overdue = now >= since + overdue_after;
             if is_overdue {
                 self.behind_since = None;
             }
             return is_overdue.then_some(FreshnessStep::Repeat);
-        };
+        }
         self.behind_since = None;
         let is_due = now >= complete_until + max_age && now >= self.next_check;
         if is_due {
--- a/crates/membership/src/last_report.rs
+++ b/crates/membership/src/last_report.rs
@@ -9,6 +9,8 @@
 /// The state that the agent last reported as decisions, so that only changes are reported.
 #[derive(Debug, Default)]
 pub(crate) struct LastReport {
+    /// Revision of the manifest that operators had declared.
+    pub(crate) declared_revision: u64,
     /// Zones that operators had declared out of service.
     pub(crate) declared_zones: BTreeSet<ZoneId>,
     /// Time at which the member was found to be out of service, while it owned units.
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -381,6 +381,7 @@
         };
         self.parts.shared.publish(View {
             can_answer_pulls: agent.can_answer_pulls(now),
+            declarations_until: agent.knows_declarations_until(),
             fleet,
             is_informed: agent.is_informed(now),
             is_up_to_date: agent.is_up_to_date(now),
--- a/crates/router/src/control/control_telemetry.rs
+++ b/crates/router/src/control/control_telemetry.rs
@@ -7,6 +7,7 @@
 use telemetry::Dependency;
 use telemetry::JSON_LINE_TARGET;
 
+use crate::clock::milliseconds;
 use crate::clock::unix_ms;
 use crate::control::ControlLoop;
 
@@ -38,6 +39,11 @@
             "revision_in_force",
             self.parts.shared.view().fleet.revision(),
         );
+        metrics.set_gauge("revision_recorded", agent.fleet().revision());
+        if let Some(until) = agent.knows_declarations_until() {
+            let age = self.parts.shared.clock.now().saturating_sub(until);
+            metrics.set_gauge("declarations_age_ms", milliseconds(age));
+        }
         metrics.set_gauge("log_next", agent.fleet().next_offset());
         metrics.set_gauge(
             "units_serving",
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -77,6 +77,7 @@
     ) -> Self {
         let view = View {
             can_answer_pulls: false,
+            declarations_until: None,
             fleet: Arc::new(Fleet::default()),
             is_informed: false,
             is_up_to_date: false,
@@ -174,10 +175,14 @@
     pub(crate) fn summarize_view(&self) -> ViewSummary {
         let view = self.view();
         let last_read = Duration::from_millis(self.last_log_read_ms.load(Ordering::Relaxed));
+        let now = self.clock.now();
+        let declarations_until = view.declarations_until;
         ViewSummary {
+            declarations_known_ms_ago: declarations_until
+                .map(|until| milliseconds(now.saturating_sub(until))),
             informed: view.is_informed,
             log_next: view.fleet.next_offset(),
-            log_read_ms_ago: milliseconds(self.clock.now().saturating_sub(last_read)),
+            log_read_ms_ago: milliseconds(now.saturating_sub(last_read)),
             revision: view.fleet.revision(),
         }
     }
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -18,7 +18,9 @@
     /// Whether this process may answer the pulls of peers: its knowledge comes from the log or from its witnesses, and not
     /// from peers alone.
     pub(crate) can_answer_pulls: bool,
-    /// State of the fleet, folded from the log.
+    /// Latest time until which this process knows all declarations of operators, `None` before it has read any.
+    pub(crate) declarations_until: Option<Duration>,
+    /// State of the fleet, folded from the log, with the declared manifest in force.
     pub(crate) fleet: Arc<Fleet>,
     /// Whether this process can know which keys are withdrawn. Requests are refused while it cannot.
     pub(crate) is_informed: bool,
--- a/crates/skylarkctl/src/explain/request_trace.rs
+++ b/crates/skylarkctl/src/explain/request_trace.rs
@@ -88,10 +88,14 @@
             writeln!(f)?;
             write_details(f, &decision.details)?;
             if let Some(view) = &decision.view {
+                let declarations = view
+                    .declarations_known_ms_ago
+                    .map(|age| format!(", declarations known {age} ms ago"))
+                    .unwrap_or_default();
                 let informed = if view.informed { "" } else { ", not informed" };
                 writeln!(
                     f,
-                    "      believed: configuration {}, log up to {}, read {} ms ago{informed}",
+                    "      believed: configuration {}, log up to {}, read {} ms ago{declarations}{informed}",
                     view.revision, view.log_next, view.log_read_ms_ago
                 )?;
             }
--- a/crates/telemetry/src/view_summary.rs
+++ b/crates/telemetry/src/view_summary.rs
@@ -7,6 +7,9 @@
 /// Summary of a process's view of the fleet when it took a decision.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ViewSummary {
+    /// Time since the process knew all declarations of operators, in milliseconds, absent before it has read any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub declarations_known_ms_ago: Option<u64>,
     /// Whether the process could know which keys are withdrawn.
     pub informed: bool,
     /// Offset of the next log record to read.
