Bind check-ins of a server to a departure that was acknowledged before it was known

Callers' requests reached a server 2.8 s after it had said that it leaves, where 2.5 s are allowed.

Cause: a server can announce that it stops by its id alone. A process looked for the upstream that it had accepted under that id, and acknowledged the departure in any case. One that had started a few milliseconds before had accepted none and forgot it; a check-in of the same server that arrived later made it an upstream like any other.

Change: the latest departure is kept with its time, and binds later check-ins of processes that started before it. The drain time counts from the departure.

--- a/crates/router/src/check_in_service.rs
+++ b/crates/router/src/check_in_service.rs
@@ -32,7 +32,9 @@
 use crate::UpstreamCheckIn;
 use crate::UpstreamGrants;
 use crate::UpstreamMessage;
+use crate::clock::unix_ms;
 use crate::control::ControlSender;
+use crate::departures::Departures;
 use crate::home::Home;
 use crate::json_response::json_response;
 use crate::shared::Shared;
@@ -54,6 +56,7 @@
     pub(crate) control: ControlSender,
     pub(crate) environment: Arc<dyn Environment>,
     pub(crate) home: Arc<Home>,
+    pub(crate) departures: Departures,
     /// Problem of the last invalid message.
     pub(crate) last_problem: Mutex<String>,
     pub(crate) next_id: AtomicU64,
@@ -97,6 +100,8 @@
 
     /// Records that the upstream has left or is about to leave. Only the accepted one gets requests.
     fn record_leave(&self, instance: &str) {
+        let now = self.shared.clock.now();
+        self.departures.record(instance, now, unix_ms());
         let view = self.shared.view();
         let Some(upstream) = view
             .upstream
@@ -106,7 +111,7 @@
             return;
         };
         let process = upstream.process();
-        self.home.record_stopping(process.clone());
+        self.home.record_stopping(process.clone(), now);
         self.control.send_event(Event::UpstreamLeft { process });
     }
 
@@ -118,8 +123,10 @@
         let mut agent_check_in = self.build_check_in(check_in);
         let process = agent_check_in.announcement.process();
         self.home.record_cold_time(&process, warm_up_left);
-        if draining {
-            self.home.record_stopping(process.clone());
+        let departed_at = self.departures.time_of(&process);
+        let stopping_since = departed_at.or(draining.then(|| self.shared.clock.now()));
+        if let Some(since) = stopping_since {
+            self.home.record_stopping(process.clone(), since);
         }
         // A check-in that was sent before the upstream announced its stop elsewhere may arrive later.
         agent_check_in.draining |= self.home.is_stopping(&process);
--- a/crates/router/src/home/home_reports.rs
+++ b/crates/router/src/home/home_reports.rs
@@ -29,11 +29,11 @@
         self.lock().not_held.insert(unit);
     }
 
-    /// Records that a process of the upstream is about to stop or has stopped.
+    /// Records that a process of the upstream said at `since` that it is about to stop, or has stopped.
     ///
     /// It gets requests for the drain time, in which its units move to other members.
-    pub(crate) fn record_stopping(&self, process: UpstreamProcess) {
-        let until = self.shared.clock.now() + self.shared.limits.drain();
+    pub(crate) fn record_stopping(&self, process: UpstreamProcess, since: Duration) {
+        let until = since + self.shared.limits.drain();
         self.lock().record_stopping(process, until);
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod control;
 mod control_traffic;
+mod departures;
 pub mod duration_text;
 mod entry;
 mod environment;
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -33,6 +33,7 @@
 use crate::control::LogReader;
 use crate::control::LogWriter;
 use crate::control::TraceWriter;
+use crate::departures::Departures;
 use crate::entry::Acknowledgments;
 use crate::entry::CallerService;
 use crate::entry::HomeClient;
@@ -255,6 +256,7 @@
             control: self.control.clone(),
             environment: Arc::clone(environment),
             home: Arc::clone(&self.home),
+            departures: Departures::default(),
             last_problem: Mutex::default(),
             next_id: AtomicU64::new(0),
             shared: Arc::clone(&self.shared),
