--- a/crates/cluster/src/fleet_copy.rs
+++ b/crates/cluster/src/fleet_copy.rs
@@ -53,7 +53,7 @@
         let has_changed = has_new_configuration || self.copy.next_offset() != fleet.next_offset();
         if has_changed && (has_new_configuration || now >= self.next_copy_at) {
             let mut copy = fleet.clone();
-            if let Some(manifest) = declared {
+            if let Some(manifest) = declared.filter(|_| revision > fleet.revision()) {
                 // The log rejects a manifest for the same reasons, which are then reported.
                 let _ = copy.configuration.replace_manifest(manifest.clone());
             }
