Vary the orders of turns and the moments of declarations in their replays

The replay of publication turns drew its cases by the revision of the manifest. Since the order of turns follows the offset of its record, all cases had the same order. The record now stands at an offset of its own in each case. The replay of lost reads sampled one declaration for each size of the fleet; it takes four at different times since the last checks, and the longest. Bounds and assertions are as before.

No product code changes but a line break in a comment.

--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -255,7 +255,8 @@
         self.log.is_informed(now) || self.has_recent_contact(now)
     }
 
-    /// Reports whether the log answers and all of it and of the declarations of operators has been read, so that what the configuration lacks is not in force.
+    /// Reports whether the log answers and all of it and of the declarations of operators has been read, so that what the
+    /// configuration lacks is not in force.
     ///
     /// Contact with witnesses does not suffice: they may be as far behind.
     pub fn is_up_to_date(&self, now: Duration) -> bool {
--- a/crates/membership/tests/lost_declaration_reads.rs
+++ b/crates/membership/tests/lost_declaration_reads.rs
@@ -21,6 +21,15 @@
 
 const SEED: u64 = 42;
 
+/// Number of declarations, each at another time since the last checks.
+const DECLARATIONS: u32 = 4;
+
+/// Time between the end of one measurement and the next declaration. Not a multiple of the times between heartbeats or checks.
+const DECLARATION_GAP: Duration = Duration::from_millis(370);
+
+/// Time from the repetition of a read until its response.
+const REPEAT_TIME: Duration = Duration::from_millis(260);
+
 /// Number of availability zones.
 const ZONES: usize = 3;
 
@@ -168,6 +177,12 @@
             }
             Action::RepeatDeclarationReads => {
                 self.repeated.entry(index).or_insert(now);
+                let read = Event::DeclarationsRead {
+                    duration: CALL_TIME,
+                    has_waited: false,
+                    position: self.position,
+                };
+                self.schedule(now + REPEAT_TIME, index, read);
             }
             Action::SendHeartbeat { heartbeat, to } => {
                 let address = address(index);
@@ -182,8 +197,8 @@
         }
     }
 
-    /// Returns the checks in a second of all members, in hundredths, and the time by which the last member finds out that
-    /// its read has not returned a new declaration.
+    /// Returns the checks in a second of all members, in hundredths, and the longest time until the last member finds
+    /// out that its read has not returned a new declaration.
     fn measure(&mut self) -> (usize, Duration) {
         let first = self.agents[0].fleet();
         assert_eq!(first.members().len(), self.agents.len());
@@ -191,12 +206,24 @@
         self.run_until(SETTLED + COUNTED_TIME);
         let seconds = usize::try_from(COUNTED_TIME.as_secs()).unwrap();
         let rate = (self.checks - begun) * 100 / seconds;
+        let mut declared_at = SETTLED + COUNTED_TIME;
+        let mut longest = Duration::ZERO;
+        for _ in 0..DECLARATIONS {
+            longest = longest.max(self.time_until_last_repeats(declared_at));
+            declared_at += BOUND + DECLARATION_GAP;
+        }
+        (rate, longest)
+    }
+
+    /// Returns the time from a declaration until the last member repeats its read.
+    fn time_until_last_repeats(&mut self, declared_at: Duration) -> Duration {
+        self.run_until(declared_at);
         self.position += 1;
-        self.run_until(SETTLED + COUNTED_TIME + BOUND * 2);
+        self.repeated.clear();
+        self.run_until(declared_at + BOUND);
         let live = self.is_lost.iter().filter(|is_lost| !**is_lost).count();
         assert_eq!(self.repeated.len(), live);
-        let last = self.repeated.values().max().unwrap();
-        (rate, *last - SETTLED - COUNTED_TIME)
+        *self.repeated.values().max().unwrap() - declared_at
     }
 }
 
--- a/crates/membership/tests/publication_turns.rs
+++ b/crates/membership/tests/publication_turns.rs
@@ -9,16 +9,15 @@
 use std::time::Duration;
 
 use cluster::Body;
-use cluster::Document;
-use cluster::Join;
-use cluster::LEASE;
+use cluster::Record;
 use membership::Action;
 use membership::Agent;
 use membership::Event;
 use membership::OperatorDeclarations;
 use support::agent_of;
+use support::first_records;
 use support::manifest;
-use support::record;
+use support::vm;
 
 /// Time by which a manifest has to be in force, by which its record thus has to be written.
 const BOUND: Duration = Duration::from_millis(2_000);
@@ -32,36 +31,21 @@
 /// Revisions by which one manifest differs from the next.
 const REVISION_STEP: u64 = 3;
 
-fn vm(index: usize) -> String {
-    format!("vm-{index:03}")
-}
-
-fn first_records(members: usize, revision: u64) -> Vec<(u64, String)> {
-    let document = Document::Manifest(manifest(revision));
-    let first = Body::Publish { base: 0, document };
-    let join = |index: usize| {
-        Body::Join(Join {
-            connections: 10,
-            instance: String::new(),
-            lease_ms: LEASE.as_millis() as u64,
-            peer: format!("10.0.0.1:{}", index + 1).parse().unwrap(),
-            region: "r".to_owned(),
-            service: "orders".to_owned(),
-            slots: 4,
-            vm: vm(index),
-            zone: "z".to_owned(),
+/// Reports whether an action publishes a manifest.
+fn is_publication(action: &Action) -> bool {
+    matches!(
+        action,
+        Action::Append(Record {
+            body: Body::Publish { .. },
+            ..
         })
-    };
-    let bodies = std::iter::once(first).chain((0..members).map(join));
-    (1..)
-        .zip(bodies)
-        .map(|(offset, body)| (offset, record(&format!("first-{offset}"), body)))
-        .collect()
+    )
 }
 
-/// Returns the time from the first of several manifests until a member publishes one. The first `silent` members do not.
+/// Returns the time from the first of several manifests until a member publishes one. The first `silent` members do not. The order
+/// of turns differs with the revision of the manifest that the log holds, and with the offset of its record, which is the same.
 fn time_to_publish(members: usize, silent: usize, revision: u64, interval: Duration) -> Duration {
-    let log = first_records(members, revision);
+    let log = first_records(members, revision - 1, manifest(revision));
     let next = log.len() as u64 + 1;
     let mut agents: BTreeMap<usize, Agent> = (silent..members)
         .map(|index| (index, agent_of(&vm(index))))
@@ -88,7 +72,6 @@
                 };
                 actions.extend(agent.handle(now, Event::Declared(declarations)));
             }
-            let is_publication = |action: &Action| matches!(action, Action::Append(record) if matches!(record.body, Body::Publish { .. }));
             if actions.iter().any(is_publication) {
                 return now - START;
             }
--- a/crates/membership/tests/publications.rs
+++ b/crates/membership/tests/publications.rs
@@ -10,10 +10,6 @@
 use std::time::Duration;
 
 use cluster::Body;
-use cluster::Document;
-use cluster::Join;
-use cluster::LEASE;
-use cluster::Record;
 use config::HostRoute;
 use config::Manifest;
 use config::Plans;
@@ -27,6 +23,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use support::agent_of;
+use support::first_records;
+use support::vm;
 
 const SEED: u64 = 38;
 
@@ -91,45 +89,6 @@
     })
 }
 
-fn vm(index: usize) -> String {
-    format!("vm-{index:03}")
-}
-
-/// Returns a log with members and a first manifest.
-fn first_records(members: usize) -> Vec<(u64, String)> {
-    let join = |index: usize| {
-        Body::Join(Join {
-            connections: 10,
-            instance: String::new(),
-            lease_ms: LEASE.as_millis() as u64,
-            peer: format!("10.0.{}.{}:7000", index / 200, index % 200)
-                .parse()
-                .unwrap(),
-            region: "r".to_owned(),
-            service: "orders".to_owned(),
-            slots: 4,
-            vm: vm(index),
-            zone: "z".to_owned(),
-        })
-    };
-    let first = Body::Publish {
-        base: 0,
-        document: Document::Manifest(manifest(1, 1)),
-    };
-    let bodies = std::iter::once(first).chain((0..members).map(join));
-    (1..)
-        .zip(bodies)
-        .map(|(offset, body)| {
-            let record = Record {
-                body,
-                id: format!("first-{offset}"),
-                writer: "operator".to_owned(),
-            };
-            (offset, serde_json::to_string(&record).unwrap())
-        })
-        .collect()
-}
-
 fn transfer_time(bytes: f64, bytes_per_second: f64) -> Duration {
     Duration::from_secs_f64(bytes / bytes_per_second)
 }
@@ -144,7 +103,7 @@
 /// Returns the number of publications, records and bytes that members append for one manifest.
 fn publish(members: usize, routes: usize) -> (usize, usize, usize) {
     let mut rng = SmallRng::seed_from_u64(SEED);
-    let first = first_records(members);
+    let first = first_records(members, 0, manifest(1, 1));
     let mut next = first.len() as u64 + 1;
     let mut agents: Vec<Agent> = (0..members).map(|index| agent_of(&vm(index))).collect();
     for agent in &mut agents {
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 use cluster::Body;
 use cluster::Document;
+use cluster::Join;
 use cluster::LEASE;
 use cluster::Record;
 use config::Manifest;
@@ -55,6 +56,42 @@
     serde_json::to_string(&record).unwrap()
 }
 
+/// Returns the name of a member of a fleet.
+pub(crate) fn vm(index: usize) -> String {
+    format!("vm-{index:03}")
+}
+
+/// Returns the records of a first manifest, which follows `skipped` records without effect, and of the joins of all members.
+pub(crate) fn first_records(
+    members: usize,
+    skipped: u64,
+    manifest: Box<Manifest>,
+) -> Vec<(u64, String)> {
+    let join = |index: usize| {
+        Body::Join(Join {
+            connections: 10,
+            instance: String::new(),
+            lease_ms: LEASE.as_millis() as u64,
+            peer: format!("10.0.{}.{}:7000", index / 200, index % 200)
+                .parse()
+                .unwrap(),
+            region: "r".to_owned(),
+            service: "orders".to_owned(),
+            slots: 4,
+            vm: vm(index),
+            zone: "z".to_owned(),
+        })
+    };
+    let document = Document::Manifest(manifest);
+    let first = Body::Publish { base: 0, document };
+    let bodies = std::iter::once(first).chain((0..members).map(join));
+    let texts = bodies
+        .enumerate()
+        .map(|(index, body)| record(&format!("first-{index}"), body));
+    let skipped = (0..skipped).map(|_| "a record of another version".to_owned());
+    (1..).zip(skipped.chain(texts)).collect()
+}
+
 /// Returns the text of the record that publishes the first manifest.
 pub(crate) fn first_publication() -> String {
     let document = Document::Manifest(manifest(1));
