Fold the state of version roll-outs, and publish orders to the log

Roll-outs had a design and no state. Members join with the version of their upstream, and the fold assigns units only to members whose version is current. Orders among the declarations are published in turns, if `AgentSettings::rollouts_enabled` is set; the router leaves it off until its settings have a section for it.

A member whose upstream returns with another version is not granted anything before it has joined again. While the roll-out has not ended, its units go to others after a full lease.

--- a/crates/bench/src/benches/fold.rs
+++ b/crates/bench/src/benches/fold.rs
@@ -258,6 +258,7 @@
         region: format!("region-{}", zone / 4),
         service: "ordering".to_owned(),
         slots: 10,
+        version: String::new(),
         vm: format!("vm-{index}"),
         zone: format!("zone-{zone}"),
     }
--- a/crates/bench/src/placement_simulation.rs
+++ b/crates/bench/src/placement_simulation.rs
@@ -180,6 +180,7 @@
             pending_zones: PendingZones::default(),
             peer_loads: previous_loads.clone(),
             stopping: false,
+            trial_share: 0.0,
             unit_loads: units
                 .map(|(unit, _)| (unit.clone(), loads.get(unit).copied().unwrap_or(0.0)))
                 .collect(),
@@ -310,6 +311,7 @@
         region: format!("region-{}", zone / 4),
         service: SERVICE.to_owned(),
         slots: 10,
+        version: String::new(),
         vm: vm_name(index),
         zone: format!("zone-{zone}"),
     })
--- a/crates/cluster/src/body.rs
+++ b/crates/cluster/src/body.rs
@@ -15,6 +15,7 @@
 
 use crate::Document;
 use crate::Join;
+use crate::RolloutRecord;
 use crate::Suspicion;
 use crate::UnitFence;
 
@@ -140,6 +141,11 @@
         /// Offset of the record that named the current witnesses.
         base: Offset,
     },
+    /// Takes a step of the roll-out of a version of the upstreams of a service.
+    ///
+    /// It is based on the order at its position, and is rejected if a later order is in force or if the step does not
+    /// follow the state of the roll-out. Of several deciders, the first in the log therefore takes effect.
+    Rollout(RolloutRecord),
     /// Holds one part of a snapshot of the folded log.
     SnapshotChunk {
         /// Offset of the last record that the snapshot covers.
--- a/crates/cluster/src/change.rs
+++ b/crates/cluster/src/change.rs
@@ -3,11 +3,13 @@
 use ids::Fence;
 use ids::Incarnation;
 use ids::Offset;
+use ids::ServiceId;
 use ids::Unit;
 use ids::VmId;
 
 use crate::EndReason;
 use crate::QuarantineState;
+use crate::RolloutState;
 
 /// One effect of a record on the folded state.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -45,6 +47,15 @@
         /// The member.
         vm: VmId,
     },
+    /// A roll-out began, has a new state or a new reason, or counts as rolled back because of a later order.
+    RolloutChanged {
+        /// Position of the order among the declarations of operators.
+        position: Offset,
+        /// Service of the upstreams.
+        service: ServiceId,
+        /// State of the roll-out.
+        state: RolloutState,
+    },
     /// A snapshot is complete in the log.
     SnapshotCompleted {
         /// Offset of the last record that it covers.
--- a/crates/cluster/src/fleet.rs
+++ b/crates/cluster/src/fleet.rs
@@ -18,6 +18,8 @@
 use crate::Ownership;
 use crate::QuarantineEntry;
 use crate::RecordAssembler;
+use crate::Rollout;
+use crate::VersionRole;
 use crate::configuration::Configuration;
 use crate::quarantine::Quarantine;
 use crate::rank::hash;
@@ -40,6 +42,7 @@
     pub(crate) progress: SnapshotProgress,
     pub(crate) quarantine: Quarantine,
     pub(crate) recent: RecentRecords,
+    pub(crate) rollouts: BTreeMap<ServiceId, Rollout>,
     pub(crate) roster: Roster,
     pub(crate) units: Units,
 }
@@ -62,7 +65,12 @@
 
     /// Reports whether a member may become the owner of shards and pinned keys of its service.
     pub fn is_candidate(&self, member: &Member) -> bool {
-        !self.is_zone_out(&member.join.zone) && !self.is_drained(&member.join.vm)
+        !self.is_zone_out(&member.join.zone) && self.is_in_service(member)
+    }
+
+    /// Reports whether neither the state of a member's upstream nor its version exclude it from its service.
+    pub(crate) fn is_in_service(&self, member: &Member) -> bool {
+        !self.is_drained(&member.join.vm) && self.version_role(member) != VersionRole::Withdrawn
     }
 
     /// Reports whether this incarnation of `witness` may renew the lease of the current incarnation of `vm`.
--- a/crates/cluster/src/fold.rs
+++ b/crates/cluster/src/fold.rs
@@ -87,6 +87,7 @@
                 incarnation,
                 base,
             } => self.rewitness(offset, &vm, incarnation, base),
+            Body::Rollout(record) => self.roll_out(offset, record),
             Body::SnapshotChunk {
                 through,
                 part,
--- a/crates/cluster/src/fold_members.rs
+++ b/crates/cluster/src/fold_members.rs
@@ -16,8 +16,10 @@
 use crate::Member;
 use crate::Ownership;
 use crate::Suspicion;
+use crate::VersionRole;
 use crate::availability::check_base_version;
 use crate::roster::EndedMember;
+use crate::timing::full_wait_ms;
 use crate::units::Candidate;
 
 /// Maximum length of the name of a VM, zone, region or service, in bytes.
@@ -30,8 +32,15 @@
     pub(crate) fn join(&mut self, offset: Offset, join: Join) -> Result<Vec<Change>, String> {
         check_join(&join)?;
         let mut changes = Vec::new();
+        let former = self.roster.members().get(&join.vm).cloned();
         let retained = self.take_retained_units(&join);
-        let ended = self.roster.end_replaced(offset, &join);
+        let mut ended = self.roster.end_replaced(offset, &join);
+        if let Some(former) = former.filter(|former| former.join.version != join.version) {
+            // The former upstream may hold grants until the lease ends, unlike one whose units stay with the VM.
+            let wait_ms = full_wait_ms(former.join.lease_ms);
+            let ended = ended.iter_mut().filter(|ended| ended.vm == join.vm);
+            ended.for_each(|ended| ended.wait_ms = ended.wait_ms.max(wait_ms));
+        }
         self.reassign_units_of_ended(offset, ended, &mut changes);
         changes.push(Change::MemberJoined {
             incarnation: offset,
@@ -46,7 +55,10 @@
     /// Takes the units, with their waits in milliseconds, that the VM keeps from its previous incarnation.
     fn take_retained_units(&mut self, join: &Join) -> Vec<(Unit, u64)> {
         let former = self.roster.members().get(&join.vm);
-        if former.is_none_or(|former| former.join.service != join.service) {
+        let is_retained = former.is_some_and(|former| {
+            former.join.service == join.service && self.keeps_units(&former.join, join)
+        });
+        if !is_retained {
             return Vec::new();
         }
         self.units.take_all(&join.vm)
@@ -196,10 +208,9 @@
         let all_members: Vec<Candidate<'_>> = members.map(Candidate::new).collect();
         let mut services: BTreeMap<&ServiceId, Vec<Candidate<'_>>> = BTreeMap::new();
         for member in self.roster.members().values() {
-            let join = &member.join;
-            let out = self.configuration.zone(&join.zone).out;
-            if !out && !self.configuration.upstream(&join.vm).out {
-                let candidates = services.entry(&join.service).or_default();
+            let is_current = self.version_role(member) == VersionRole::Current;
+            if is_current && self.is_candidate(member) {
+                let candidates = services.entry(&member.join.service).or_default();
                 candidates.push(Candidate::new(member));
             }
         }
@@ -250,6 +261,12 @@
             ));
         }
     }
+    if join.version.len() > MAX_NAME_BYTES {
+        return Err(format!(
+            "version: a version must have at most {MAX_NAME_BYTES} bytes, but this one has {}",
+            join.version.len()
+        ));
+    }
     if join.slots == 0 || join.slots > MAX_SLOTS {
         return Err(format!("slots: {} is not in 1..={MAX_SLOTS}", join.slots));
     }
--- a/crates/cluster/src/join.rs
+++ b/crates/cluster/src/join.rs
@@ -4,6 +4,7 @@
 
 use ids::RegionId;
 use ids::ServiceId;
+use ids::UpstreamVersion;
 use ids::VmId;
 use ids::ZoneId;
 use serde::Deserialize;
@@ -31,6 +32,9 @@
     pub service: ServiceId,
     /// Number of requests that the upstream runs concurrently.
     pub slots: u32,
+    /// Version of the upstream, or empty if it is not known.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub version: UpstreamVersion,
     /// Name of the VM.
     pub vm: VmId,
     /// Availability zone of the VM.
--- a/crates/cluster/src/load_view.rs
+++ b/crates/cluster/src/load_view.rs
@@ -28,6 +28,8 @@
     /// Fraction of its fair share by which the load of a member may differ before units are moved, or `None` for a
     /// tenth above and a seventh below.
     pub tolerance: Option<f64>,
+    /// Share of the shards of the service that are on trial at present. It has no effect while no trial runs.
+    pub trial_share: f64,
     /// Loads of the member's own units, or empty if loads are unknown, so that all units count alike.
     ///
     /// A shard or bucket without an entry is idle. The load of a pinned key without an entry is not known yet.
--- a/crates/cluster/src/pending_zones.rs
+++ b/crates/cluster/src/pending_zones.rs
@@ -29,7 +29,7 @@
     /// Reports whether a member may become the owner of shards and pinned keys of its service, and may get requests of a
     /// service without keys.
     pub fn is_candidate(&self, fleet: &Fleet, member: &Member) -> bool {
-        !self.is_zone_out(fleet, &member.join.zone) && !fleet.is_drained(&member.join.vm)
+        !self.is_zone_out(fleet, &member.join.zone) && fleet.is_in_service(member)
     }
 }
 
--- a/crates/cluster/src/snapshot.rs
+++ b/crates/cluster/src/snapshot.rs
@@ -5,6 +5,7 @@
 use ids::Fence;
 use ids::Incarnation;
 use ids::Offset;
+use ids::ServiceId;
 use ids::Unit;
 use ids::VmId;
 use serde::Deserialize;
@@ -15,6 +16,7 @@
 use crate::Join;
 use crate::Ownership;
 use crate::RecordAssembler;
+use crate::Rollout;
 use crate::SnapshotError;
 use crate::configuration::Configuration;
 use crate::quarantine::Quarantine;
@@ -49,6 +51,8 @@
     progress: SnapshotProgress,
     quarantine: Quarantine,
     recent: Vec<HashRun>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    rollouts: BTreeMap<ServiceId, Rollout>,
     unowned: BTreeMap<u64, UnitSet>,
 }
 
@@ -76,6 +80,7 @@
             progress: self.progress.clone(),
             quarantine: self.quarantine.clone(),
             recent: self.recent.to_runs(),
+            rollouts: self.rollouts.clone(),
             unowned: group_unowned(&self.units),
         };
         let text = serde_json::to_string(&snapshot)
@@ -125,6 +130,7 @@
             progress: snapshot.progress,
             quarantine: snapshot.quarantine,
             recent: RecentRecords::from_runs(&snapshot.recent).ok_or(SnapshotError::Damaged)?,
+            rollouts: snapshot.rollouts,
             units: restore_units(
                 snapshot.holdings,
                 snapshot.unowned,
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -158,6 +158,7 @@
         region: "tayside".to_owned(),
         service: "ordering".to_owned(),
         slots: 10,
+        version: String::new(),
         vm: vm(index),
         zone: zone.to_owned(),
     })
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -33,6 +33,9 @@
 /// Name of a service that upstreams provide.
 pub type ServiceId = String;
 
+/// Version of an upstream, as the platform names it. Empty if it names none.
+pub type UpstreamVersion = String;
+
 /// Name of a VM, unique in the fleet.
 pub type VmId = String;
 
--- a/crates/membership/src/agent.rs
+++ b/crates/membership/src/agent.rs
@@ -16,6 +16,7 @@
 use crate::AgentSettings;
 use crate::Announcement;
 use crate::DeclarationFreshness;
+use crate::DesiredGrants;
 use crate::Event;
 use crate::LastReport;
 use crate::Lease;
@@ -177,6 +178,7 @@
                     .get_or_insert(now + self.cfg.stop_timeout);
             }
             Event::Tick => self.tick(now, actions),
+            Event::TrialShare { share } => self.set_trial_share(share),
             Event::UnitLoads { loads } => self.loads.unit_loads = loads,
             Event::UpstreamLeft { process } => self.upstream.record_leave(&process),
             Event::UpstreamLost => self.upstream.record_connection_loss(now),
@@ -202,9 +204,16 @@
         self.send_heartbeats(now, actions);
         self.advance_lifecycle(now, actions);
         let holder = self.holder();
-        let may_grant = self.state.may_grant();
+        self.upstream.update_instance(now);
+        // An upstream of another version gets nothing before the log states which units its member keeps.
+        let is_joined = self.is_joined_for_upstream();
+        let may_grant = self.state.may_grant() && is_joined;
         let lease_end = self.lease.end().filter(|_| may_grant);
-        let desired = self.owned_units.desired_grants();
+        let no_grants = DesiredGrants::default();
+        let desired = match is_joined {
+            true => self.owned_units.desired_grants(),
+            false => &no_grants,
+        };
         self.upstream
             .advance(now, &holder, lease_end, desired, actions);
         self.owned_units.advance(now, &self.upstream);
--- a/crates/membership/src/agent_check_in.rs
+++ b/crates/membership/src/agent_check_in.rs
@@ -42,21 +42,19 @@
         self.advance(now, actions);
     }
 
-    /// Reports whether the member joined for the current process of an upstream that polls its grants. After the
-    /// upstream restarts, the units need new fences first. Always true for an upstream that does not poll.
+    /// Reports whether the member joined for the version of the current upstream, and if that polls its grants, for its
+    /// current process. After such an upstream restarts, the units need new fences first. After another version starts, the
+    /// units may belong to other members.
     pub(crate) fn is_joined_for_upstream(&self) -> bool {
-        let Some(accepted) = self
-            .upstream
-            .accepted()
-            .filter(|upstream| upstream.polls_grants)
-        else {
+        let Some(accepted) = self.upstream.accepted() else {
             return true;
         };
-        let member = self.log.fleet().members().get(&self.cfg.vm);
-        member.is_some_and(|member| {
-            member.join.instance == accepted.instance
-                && self.state.incarnation() == Some(member.incarnation)
-        })
+        let Some(member) = self.log.fleet().members().get(&self.cfg.vm) else {
+            return !accepted.polls_grants;
+        };
+        let has_instance = member.join.instance == accepted.instance
+            && self.state.incarnation() == Some(member.incarnation);
+        member.join.version == accepted.version && (has_instance || !accepted.polls_grants)
     }
 
     /// Reports whether the member's ranges do not fit into one answer, although adjacent ranges under the same fence
--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -56,6 +56,7 @@
         }
         if self.declarations != declarations {
             self.declarations = declarations;
+            self.rejected_declarations.rollouts.clear();
             self.rejected_declarations.zones.clear();
         }
     }
@@ -67,7 +68,8 @@
         }
         let revision = self.unpublished_revision();
         let zones = self.unpublished_zones(now);
-        if revision.is_none() && zones.is_empty() {
+        let rollouts = self.unpublished_rollouts();
+        if revision.is_none() && zones.is_empty() && rollouts.is_empty() {
             self.schedule.unpublished_since = None;
             return;
         }
@@ -87,10 +89,13 @@
         for (zone, out) in zones {
             self.publish_zone(now, zone, out, actions);
         }
+        for (service, order) in rollouts {
+            self.publish_rollout(now, service, order, actions);
+        }
     }
 
     /// Returns the revision of the declared manifest if the log lacks it and may accept it.
-    fn unpublished_revision(&self) -> Option<u64> {
+    pub(crate) fn unpublished_revision(&self) -> Option<u64> {
         let revision = self.declared_revision();
         let published = self.log.fleet().revision();
         (revision > published && revision != self.rejected_declarations.revision)
--- a/crates/membership/src/agent_lifecycle.rs
+++ b/crates/membership/src/agent_lifecycle.rs
@@ -18,7 +18,9 @@
     pub(crate) fn advance_lifecycle(&mut self, now: Duration, actions: &mut Vec<Action>) {
         match &self.state {
             MemberState::Absent(absent) if self.may_join(now, absent.not_before) => {
-                self.join(now, actions);
+                if !self.must_publish_own_rollout(now, actions) {
+                    self.join(now, actions);
+                }
             }
             MemberState::Absent(_) | MemberState::Joining(_) => {
                 // After a restart of all processes, none is a member yet. The first manifest is left to members, so that
@@ -81,11 +83,14 @@
         let Some(accepted) = self.upstream.accepted() else {
             return;
         };
+        let body = Body::Join(self.join_record(accepted));
         if self.appends.any(is_pending) || self.stop_deadline.is_some() || !self.log.is_healthy(now)
         {
             return;
         }
-        let body = Body::Join(self.join_record(accepted));
+        if self.must_publish_own_rollout(now, actions) {
+            return;
+        }
         self.appends.append(now, body, actions);
     }
 
@@ -102,6 +107,7 @@
             region: self.cfg.region.clone(),
             service: accepted.service.clone(),
             slots: accepted.slots,
+            version: accepted.version.clone(),
             vm: self.cfg.vm.clone(),
             zone: self.cfg.zone.clone(),
         }
--- a/crates/membership/src/agent_rejections.rs
+++ b/crates/membership/src/agent_rejections.rs
@@ -5,6 +5,8 @@
 use cluster::Body;
 use cluster::Document;
 use cluster::Record;
+use cluster::RolloutRecord;
+use cluster::RolloutStep;
 
 use crate::Action;
 use crate::Agent;
@@ -28,6 +30,14 @@
                 document: Document::Manifest(manifest),
                 ..
             } => self.rejected_declarations.revision = manifest.revision,
+            Body::Rollout(RolloutRecord {
+                service,
+                position,
+                step: RolloutStep::Ordered { .. },
+            }) => {
+                let rollouts = &mut self.rejected_declarations.rollouts;
+                rollouts.insert(service.clone(), *position);
+            }
             Body::Zone { zone, out, .. } => {
                 let zones = &mut self.rejected_declarations.zones;
                 zones.insert(zone.clone(), *out);
@@ -44,6 +54,7 @@
             document: Document::Manifest(manifest),
             ..
         } => format!("manifest {}", manifest.revision),
+        Body::Rollout(RolloutRecord { service, .. }) => format!("roll-out of {service}"),
         Body::Zone { zone, .. } => format!("zone {zone}"),
         _ => {
             let value = serde_json::to_value(body).unwrap_or_default();
--- a/crates/membership/src/agent_settings.rs
+++ b/crates/membership/src/agent_settings.rs
@@ -33,6 +33,9 @@
     /// Time for which the log keeps records; `None` if it is too long to shorten the interval between snapshots.
     #[serde(default)]
     pub retention: Option<Duration>,
+    /// Whether the process publishes orders of roll-outs to the log. Without it, such orders change nothing.
+    #[serde(default)]
+    pub rollouts_enabled: bool,
     /// Seed of record ids, different at every start of the process.
     pub seed: u64,
     /// Time limit of a graceful stop. In its second half, units that could not be moved are left to the other members.
--- a/crates/membership/src/announcement.rs
+++ b/crates/membership/src/announcement.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use ids::ServiceId;
+use ids::UpstreamVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -30,6 +31,9 @@
     /// Start time of the upstream process, in milliseconds since the Unix epoch, or 0 if it is not known.
     #[serde(default, rename = "born_unix_ms")]
     pub started_unix_ms: u64,
+    /// Version of the upstream, or empty if it is not known.
+    #[serde(default)]
+    pub version: UpstreamVersion,
 }
 
 impl Announcement {
@@ -41,6 +45,13 @@
         }
     }
 
+    /// Adopts the version of an earlier announcement of the same process if this one states none.
+    pub(crate) fn keep_version_of(&mut self, earlier: &Self) {
+        if self.version.is_empty() {
+            self.version.clone_from(&earlier.version);
+        }
+    }
+
     /// Reports whether two announcements describe the same upstream process.
     pub fn is_same_process(&self, other: &Self) -> bool {
         self.instance == other.instance && self.started_unix_ms == other.started_unix_ms
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -137,6 +137,11 @@
     Stop,
     /// Time has advanced. Heartbeats that arrived before are handled first.
     Tick,
+    /// Share of the shards of the service that are on trial at present, from 0 to 1.
+    TrialShare {
+        /// The share.
+        share: f64,
+    },
     /// Loads of the units that this process serves, such as requests per second.
     UnitLoads {
         /// Load by unit.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -54,6 +54,7 @@
 mod agent_rejections;
 mod agent_report;
 mod agent_restore;
+mod agent_rollouts;
 mod agent_settings;
 mod agent_witness;
 mod announcement;
--- a/crates/membership/src/operator_declarations.rs
+++ b/crates/membership/src/operator_declarations.rs
@@ -1,9 +1,12 @@
 //! Declarations of operators outside the log.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use cluster::RolloutOrder;
 use config::Manifest;
 use ids::Offset;
+use ids::ServiceId;
 use ids::ZoneId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -16,6 +19,9 @@
     /// Position up to which the declarations were read.
     #[serde(default)]
     pub position: Offset,
+    /// The newest order of a roll-out of each service.
+    #[serde(default)]
+    pub rollouts: BTreeMap<ServiceId, RolloutOrder>,
     /// Availability zones that operators have taken out of service.
     pub zones_out: BTreeSet<ZoneId>,
 }
--- a/crates/membership/src/rejected_declarations.rs
+++ b/crates/membership/src/rejected_declarations.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use ids::Offset;
+use ids::ServiceId;
 use ids::ZoneId;
 
 /// Declarations of operators that the log will never accept as records.
@@ -9,6 +11,8 @@
 pub(crate) struct RejectedDeclarations {
     /// Revision of the manifest, 0 for none.
     pub(crate) revision: u64,
+    /// Position of the order of a roll-out, by service.
+    pub(crate) rollouts: BTreeMap<ServiceId, Offset>,
     /// Zones with their declared states, `true` for a zone that is out of service.
     pub(crate) zones: BTreeMap<ZoneId, bool>,
 }
--- a/crates/membership/src/upstream.rs
+++ b/crates/membership/src/upstream.rs
@@ -53,9 +53,12 @@
 impl Upstream {
     /// Records an announcement. A new instance of the upstream is accepted once the grants of the
     /// previous one have ended.
-    pub(crate) fn record_announcement(&mut self, now: Duration, announcement: Announcement) {
+    pub(crate) fn record_announcement(&mut self, now: Duration, mut announcement: Announcement) {
         self.health.record_announcement(now);
-        if self.is_instance(&announcement.instance) {
+        if let Some(accepted) = &self.accepted
+            && accepted.instance == announcement.instance
+        {
+            announcement.keep_version_of(accepted);
             self.accepted = Some(announcement);
             self.candidate = None;
             self.superseded = false;
@@ -64,6 +67,15 @@
         }
     }
 
+    /// Drops the grants that have expired, and accepts a new instance of the upstream if the grants of the previous one have
+    /// ended.
+    pub(crate) fn update_instance(&mut self, now: Duration) {
+        self.expire_grants(now);
+        if !self.polls_grants() {
+            self.accept_candidate();
+        }
+    }
+
     fn accept_candidate(&mut self) {
         if self.candidate.is_some() && self.held.is_empty() {
             self.accepted = self.candidate.take();
@@ -159,11 +171,9 @@
         desired: &DesiredGrants,
         actions: &mut Vec<Action>,
     ) {
-        self.expire_grants(now);
         if self.polls_grants() {
             return;
         }
-        self.accept_candidate();
         self.time_out_grant(now);
         if !self.checks_grants() {
             self.confirm_unchecked(desired);
--- a/crates/membership/src/upstream_polled.rs
+++ b/crates/membership/src/upstream_polled.rs
@@ -30,12 +30,16 @@
         if is_older {
             return false;
         }
+        let mut announcement = announcement.clone();
+        if let Some(accepted) = accepted.filter(|_| is_same) {
+            announcement.keep_version_of(accepted);
+        }
         if !is_same {
             self.held.clear();
             self.clear_confirmed();
             self.health.reset();
         }
-        self.accepted = Some(check_in.announcement.clone());
+        self.accepted = Some(announcement);
         self.draining = check_in.draining;
         self.last_check_in = check_in.sequence;
         self.health.record_announcement(now);
--- a/crates/membership/tests/lost_declaration_reads.rs
+++ b/crates/membership/tests/lost_declaration_reads.rs
@@ -85,6 +85,7 @@
                 peer: address(index),
                 region: "r".to_owned(),
                 retention: None,
+                rollouts_enabled: true,
                 seed: rng.random(),
                 stop_timeout: Duration::from_secs(20),
                 vm: format!("vm-{index:03}"),
@@ -237,6 +238,7 @@
         service: "orders".to_owned(),
         slots: 4,
         started_unix_ms: 0,
+        version: String::new(),
     }
 }
 
--- a/crates/membership/tests/model/node.rs
+++ b/crates/membership/tests/model/node.rs
@@ -94,6 +94,7 @@
             service: "ordering".to_owned(),
             slots: 10,
             started_unix_ms: 0,
+            version: String::new(),
         }
     }
 
@@ -141,6 +142,7 @@
         retention: None,
         peer,
         region: "region".to_owned(),
+        rollouts_enabled: true,
         seed,
         stop_timeout: Duration::from_secs(20),
         vm: format!("vm-{index}"),
--- a/crates/membership/tests/polled/evacuations.rs
+++ b/crates/membership/tests/polled/evacuations.rs
@@ -30,6 +30,7 @@
     process.handle(Event::Declared(OperatorDeclarations {
         manifest: Some(Box::new(manifest())),
         position,
+        rollouts: BTreeMap::new(),
         zones_out: zones.iter().map(|zone| (*zone).to_owned()).collect(),
     }));
 }
--- a/crates/membership/tests/rejected_appends.rs
+++ b/crates/membership/tests/rejected_appends.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cluster::Body;
@@ -20,6 +21,7 @@
     Event::Declared(OperatorDeclarations {
         manifest: Some(manifest(revision)),
         position: revision,
+        rollouts: BTreeMap::new(),
         zones_out: zones_out.iter().map(|zone| (*zone).to_owned()).collect(),
     })
 }
--- a/crates/membership/tests/restored_declarations.rs
+++ b/crates/membership/tests/restored_declarations.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -48,6 +49,7 @@
     let declared = OperatorDeclarations {
         manifest: Some(manifest(1)),
         position: first_offset(1),
+        rollouts: BTreeMap::new(),
         zones_out,
     };
     let mut actions = agent.handle(START, Event::Declared(declared));
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -31,6 +31,7 @@
         peer: "10.0.0.1:7000".parse().unwrap(),
         region: "r".to_owned(),
         retention: None,
+        rollouts_enabled: true,
         seed: 7,
         stop_timeout: std::time::Duration::from_secs(20),
         vm: vm.to_owned(),
@@ -78,6 +79,7 @@
             region: "r".to_owned(),
             service: "orders".to_owned(),
             slots: 4,
+            version: String::new(),
             vm: vm(index),
             zone: "z".to_owned(),
         })
--- a/crates/router/src/announce_service.rs
+++ b/crates/router/src/announce_service.rs
@@ -61,6 +61,7 @@
                 service: announcement.service,
                 slots: announcement.slots,
                 started_unix_ms: 0,
+                version: String::new(),
             }));
         let body = serde_json::json!({ "accepted": is_accepted });
         let status = if is_accepted {
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -91,6 +91,7 @@
             peer: settings.addresses.peer,
             region: settings.region.clone(),
             retention: settings.log.retention(),
+            rollouts_enabled: false,
             seed,
             stop_timeout: settings.limits.move_timeout(),
             vm: settings.vm.clone(),
