Plan moves of units to and from versions on trial

Members on trial were balanced like others. The planner now gives them the shards that a hash of shard and order selects at the present share, and leaves them out of the balance; they return all other units. Members whose version gets nothing move their units away as for an evacuation.

--- a/crates/cluster/src/plan_moves.rs
+++ b/crates/cluster/src/plan_moves.rs
@@ -3,17 +3,20 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use ids::ServiceId;
 use ids::Unit;
 use ids::VmId;
 
 use crate::Fleet;
 use crate::LoadView;
 use crate::Member;
+use crate::VersionRole;
+use crate::plan_pins::balanced_members;
 use crate::plan_pins::cool_pins;
 use crate::plan_pins::is_hot;
 use crate::plan_pins::service_load;
-use crate::plan_pins::service_members;
+use crate::plan_trial::apply_budget;
+use crate::plan_trial::assign_trial_units;
+use crate::plan_trial::trial_load_limit;
 use crate::planner::Node;
 use crate::planner::Planner;
 use crate::service_totals::ServiceTotals;
@@ -39,45 +42,20 @@
 /// Only the owner of a unit decides to move it. Shares are proportional to the capacities of the
 /// candidates of the service. A member that is drained, in a zone that is out of service, or
 /// stopping moves all its units. The owner of a pinned key whose load alone exceeds a fair share
-/// moves all its other units.
+/// moves all its other units. While a version of the service is on trial, its members get the units on trial and no others,
+/// see `plan_trial_moves`.
 ///
 /// Unless the loads of all other members of the service are known, all units are weighted equally,
 /// since every member knows how many units each member has. Nothing is moved while all members are
 /// close to their shares.
 pub fn plan_moves(fleet: &Fleet, me: &VmId, view: &LoadView) -> Vec<(VmId, Vec<Unit>)> {
-    let Some(member) = fleet.members().get(me) else {
+    let Some(planner) = Planner::new(fleet, me, view) else {
         return Vec::new();
     };
-    let planner = Planner {
-        fleet,
-        base_load: base_load(fleet, member, view),
-        me: member,
-        view,
-    };
-    let mut moves = planner.plan_keyed_moves();
-    for (unit, to) in planner.pins_to_return() {
-        for units in moves.values_mut() {
-            units.retain(|planned| *planned != unit);
-        }
-        moves.entry(to).or_default().push(unit);
-    }
-    if view.max_shards.is_none() || planner.is_leaving() {
-        for (to, units) in planner.plan_bucket_moves() {
-            moves.entry(to).or_default().extend(units);
-        }
-    }
-    if view.max_shards.is_none() || planner.is_leaving() {
-        return apply_budget(moves, view.budget);
-    }
-    if planner.is_far_over_share() {
-        let empty = planner.nearly_empty_members();
-        if moves.keys().any(|vm| empty.contains(vm)) {
-            moves.retain(|vm, _| empty.contains(vm));
-            return moves.into_iter().collect();
-        }
-    }
-    keep_largest_transfer(&mut moves);
-    apply_budget(moves, view.budget)
+    let mut planned = planner.moves_to_trial();
+    let given: usize = planned.iter().map(|(_, units)| units.len()).sum();
+    planned.extend(planner.plan_other_moves(view.budget.saturating_sub(given)));
+    planned
 }
 
 /// Keeps only the move to the member that receives the most units, as each receiver needs its
@@ -90,26 +68,50 @@
     }
 }
 
-/// Limits the moves to `budget` units, in proportion to the units of each receiver.
-///
-/// Without this limit, outdated loads could make one member receive too much.
-fn apply_budget(moves: BTreeMap<VmId, Vec<Unit>>, budget: usize) -> Vec<(VmId, Vec<Unit>)> {
-    let total: usize = moves.values().map(Vec::len).sum();
-    let mut remaining = budget;
-    let mut limited = Vec::new();
-    for (to, mut units) in moves {
-        if total > budget {
-            units.truncate((units.len() * budget).div_ceil(total).min(remaining));
+impl<'a> Planner<'a> {
+    /// Returns the planner of the moves of a member, or `None` if it is none.
+    pub(crate) fn new(fleet: &'a Fleet, me: &VmId, view: &'a LoadView) -> Option<Self> {
+        let member = fleet.members().get(me)?;
+        let may_receive = |other: &Member| may_receive(fleet, member, view, other);
+        let service = &member.join.service;
+        Some(Self {
+            fleet,
+            base_load: base_load(fleet, member, view),
+            me: member,
+            trial_load_limit: trial_load_limit(fleet, me, view),
+            trial_units: assign_trial_units(fleet, service, view.trial_share, may_receive),
+            view,
+        })
+    }
+
+    /// Plans the moves of all units but those on trial.
+    fn plan_other_moves(&self, budget: usize) -> Vec<(VmId, Vec<Unit>)> {
+        let mut moves = self.plan_keyed_moves();
+        for (unit, to) in self.pins_to_return() {
+            for units in moves.values_mut() {
+                units.retain(|planned| *planned != unit);
+            }
+            moves.entry(to).or_default().push(unit);
+        }
+        if self.view.max_shards.is_none() || self.is_leaving() {
+            for (to, units) in self.plan_bucket_moves() {
+                moves.entry(to).or_default().extend(units);
+            }
+        }
+        if self.view.max_shards.is_none() || self.sends_all() {
+            return apply_budget(moves, budget);
         }
-        remaining -= units.len().min(remaining);
-        if !units.is_empty() {
-            limited.push((to, units));
+        if self.is_far_over_share() {
+            let empty = self.nearly_empty_members();
+            if moves.keys().any(|vm| empty.contains(vm)) {
+                moves.retain(|vm, _| empty.contains(vm));
+                return moves.into_iter().collect();
+            }
         }
+        keep_largest_transfer(&mut moves);
+        apply_budget(moves, budget)
     }
-    limited
-}
 
-impl<'a> Planner<'a> {
     fn is_leaving(&self) -> bool {
         self.view.stopping || !self.view.is_candidate(self.fleet, self.me)
     }
@@ -126,7 +128,7 @@
     /// They get their whole shares at once, although units are not served while they are moved.
     fn nearly_empty_members(&self) -> BTreeSet<VmId> {
         let totals = self.service_totals();
-        service_members(self.fleet, &self.me.join.service)
+        balanced_members(self.fleet, self.me)
             .filter(|member| self.may_receive(member))
             .filter(|member| {
                 self.unit_count(member) < NEARLY_EMPTY_RATIO * self.fair_unit_count(&totals, member)
@@ -141,7 +143,7 @@
 
     /// Returns the totals of the service, which a caller computes once for all its members.
     fn service_totals(&self) -> ServiceTotals {
-        let members = || service_members(self.fleet, &self.me.join.service);
+        let members = || balanced_members(self.fleet, self.me);
         let receivers = members().filter(|member| self.may_receive(member));
         ServiceTotals {
             capacity: receivers.map(|member| self.view.capacity_of(member)).sum(),
@@ -153,9 +155,15 @@
         totals.fair_unit_count(self.view.capacity_of(member))
     }
 
+    /// Reports whether moves that balance load may give units of its service to a member.
     fn may_receive(&self, member: &Member) -> bool {
-        let is_leaving = member.join.vm == self.me.join.vm && self.view.stopping;
-        self.view.is_candidate(self.fleet, member) && !is_leaving
+        self.fleet.version_role(member) == VersionRole::Current
+            && may_receive(self.fleet, self.me, self.view, member)
+    }
+
+    /// Reports whether the member moves away all units that this trial has not assigned to it.
+    fn sends_all(&self) -> bool {
+        self.is_leaving() || self.is_on_trial()
     }
 
     fn plan_bucket_moves(&self) -> BTreeMap<VmId, Vec<Unit>> {
@@ -166,7 +174,7 @@
             .values()
             .map(|member| Node {
                 capacity: f64::from(member.join.slots),
-                eligible: self.may_receive(member),
+                eligible: may_receive(self.fleet, self.me, self.view, member),
                 load: self.fleet.units.bucket_count_of(&member.join.vm) as f64,
                 member,
             })
@@ -177,7 +185,7 @@
 
     /// Returns pinned keys that are no longer hot, with the other members that own their shards.
     fn pins_to_return(&self) -> Vec<(Unit, VmId)> {
-        if self.is_leaving() {
+        if self.sends_all() {
             return Vec::new();
         }
         cool_pins(self.fleet, &self.me.join.vm, self.view)
@@ -185,16 +193,15 @@
             .filter(|(_, to)| *to != self.me.join.vm)
             .filter(|(_, to)| {
                 let member = self.fleet.members().get(to);
-                member.is_some_and(|member| self.view.is_candidate(self.fleet, member))
+                member.is_some_and(|member| self.may_receive(member))
             })
             .collect()
     }
 
-    fn plan_keyed_moves(&self) -> BTreeMap<VmId, Vec<Unit>> {
-        let service = &self.me.join.service;
+    pub(crate) fn plan_keyed_moves(&self) -> BTreeMap<VmId, Vec<Unit>> {
         let own = self.units_with_loads();
         let own_load: f64 = own.iter().map(|(_, load)| load).sum();
-        let mut nodes: Vec<Node<'a>> = self.service_nodes(service, own_load);
+        let mut nodes: Vec<Node<'a>> = self.service_nodes(own_load);
         let count: usize = nodes
             .iter()
             .map(|node| self.fleet.units.keyed_count_of(&node.member.join.vm))
@@ -204,9 +211,9 @@
         let hot = self.hot_pins(&own, &nodes);
         let movable: Vec<(Unit, f64)> = own
             .into_iter()
-            .filter(|(unit, _)| self.is_leaving() || !hot.contains(unit))
+            .filter(|(unit, _)| self.sends_all() || !hot.contains(unit))
             .collect();
-        if !hot.is_empty() && !self.is_leaving() {
+        if !hot.is_empty() && !self.sends_all() {
             self.isolate_hot_pins(&mut nodes, &movable);
         } else if self.is_balanced(&nodes) {
             return BTreeMap::new();
@@ -214,14 +221,14 @@
         self.distribute(&nodes, movable, quantum)
     }
 
-    /// Returns the own shards and pinned keys with their loads.
+    /// Returns the own shards and pinned keys with their loads, but for those on trial.
     fn units_with_loads(&self) -> Vec<(Unit, f64)> {
         let loads = &self.view.unit_loads;
         let load = |unit: &Unit| match self.base_load {
             None => 1.0,
             Some(base) => base + loads.get(unit).copied().unwrap_or(0.0),
         };
-        self.own_units(is_keyed)
+        self.own_units(|unit| is_keyed(unit) && self.trial_owner(unit).is_none())
             .into_iter()
             .map(|unit| {
                 let load = load(&unit);
@@ -239,8 +246,8 @@
             .collect()
     }
 
-    fn service_nodes(&self, service: &ServiceId, own_load: f64) -> Vec<Node<'a>> {
-        service_members(self.fleet, service)
+    fn service_nodes(&self, own_load: f64) -> Vec<Node<'a>> {
+        balanced_members(self.fleet, self.me)
             .map(|member| self.service_node(member, own_load))
             .collect()
     }
@@ -269,7 +276,7 @@
             capacity: self.view.capacity_of(member),
             eligible: self.may_receive(member)
                 && !is_isolated
-                && (is_me || has_capacity || self.is_leaving()),
+                && (is_me || has_capacity || self.sends_all()),
             load,
             member,
         }
@@ -305,7 +312,7 @@
 
     /// Reports whether all loads are so close to their shares that moves would only add churn.
     fn is_balanced(&self, nodes: &[Node<'_>]) -> bool {
-        if self.is_leaving() {
+        if self.sends_all() {
             return false;
         }
         let eligible = || nodes.iter().filter(|node| node.eligible);
@@ -326,12 +333,18 @@
 /// Returns `None` while the loads of some members of the service are unknown.
 fn base_load(fleet: &Fleet, me: &Member, view: &LoadView) -> Option<f64> {
     let total = service_load(fleet, me, view).filter(|total| *total > 0.0)?;
-    let count: usize = service_members(fleet, &me.join.service)
+    let count: usize = balanced_members(fleet, me)
         .map(|member| fleet.units.keyed_count_of(&member.join.vm))
         .sum();
     Some(BASE_LOAD_FRACTION * total / count.max(1) as f64)
 }
 
+/// Reports whether a member is in service, as far as this member knows, and does not stop.
+fn may_receive(fleet: &Fleet, me: &Member, view: &LoadView, member: &Member) -> bool {
+    let is_stopping = member.join.vm == me.join.vm && view.stopping;
+    view.is_candidate(fleet, member) && !is_stopping
+}
+
 fn is_keyed(unit: &Unit) -> bool {
     !matches!(unit, Unit::Bucket { .. })
 }
--- a/crates/cluster/src/plan_pins.rs
+++ b/crates/cluster/src/plan_pins.rs
@@ -9,6 +9,7 @@
 use crate::Fleet;
 use crate::LoadView;
 use crate::Member;
+use crate::VersionRole;
 
 /// Load of a pinned key relative to a fair share below which the key returns to its shard.
 const COOL_SHARE_RATIO: f64 = 0.5;
@@ -31,6 +32,9 @@
     let Some(member) = fleet.members().get(me) else {
         return Vec::new();
     };
+    if fleet.version_role(member) == VersionRole::Trial {
+        return Vec::new();
+    }
     let service = &member.join.service;
     let Some(share) = fair_share(fleet, member, view) else {
         return Vec::new();
@@ -90,7 +94,7 @@
 /// Returns `None` if the load of some members is unknown.
 fn fair_share(fleet: &Fleet, me: &Member, view: &LoadView) -> Option<f64> {
     let total = service_load(fleet, me, view)?;
-    let capacity: f64 = service_members(fleet, &me.join.service)
+    let capacity: f64 = balanced_members(fleet, me)
         .filter(|member| view.is_candidate(fleet, member))
         .map(|member| view.capacity_of(member))
         .sum();
@@ -103,13 +107,23 @@
         return None;
     }
     let own: f64 = view.unit_loads.values().sum();
-    let peers: Option<f64> = service_members(fleet, &me.join.service)
+    let peers: Option<f64> = balanced_members(fleet, me)
         .filter(|member| member.join.vm != me.join.vm)
         .map(|member| view.peer_loads.get(&member.join.vm).copied())
         .sum();
     Some(own + peers?)
 }
 
+/// Returns the members that load is balanced between: those of the service of `me` but the ones on trial, and `me`.
+pub(crate) fn balanced_members<'a>(
+    fleet: &'a Fleet,
+    me: &'a Member,
+) -> impl Iterator<Item = &'a Member> {
+    service_members(fleet, &me.join.service).filter(move |member| {
+        member.join.vm == me.join.vm || fleet.version_role(member) != VersionRole::Trial
+    })
+}
+
 pub(crate) fn service_members<'a>(
     fleet: &'a Fleet,
     service: &ServiceId,
--- a/crates/cluster/src/planner.rs
+++ b/crates/cluster/src/planner.rs
@@ -21,6 +21,10 @@
     /// Load added to that of each unit, or `None` if all units are weighted equally.
     pub(crate) base_load: Option<f64>,
     pub(crate) me: &'a Member,
+    /// Load above which a unit of this member is not given to a trial.
+    pub(crate) trial_load_limit: f64,
+    /// Members on trial by the units that are assigned to them.
+    pub(crate) trial_units: BTreeMap<Unit, VmId>,
     pub(crate) view: &'a LoadView,
 }
 
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -11,6 +11,8 @@
 use cluster::Join;
 use cluster::Outcome;
 use cluster::Record;
+use cluster::RolloutRecord;
+use cluster::RolloutStep;
 use cluster::Suspicion;
 use cluster::UnitFence;
 use config::Plans;
@@ -148,6 +150,10 @@
 }
 
 pub(crate) fn join(index: usize, zone: &str) -> Body {
+    join_with_version(index, zone, "")
+}
+
+pub(crate) fn join_with_version(index: usize, zone: &str, version: &str) -> Body {
     Body::Join(Join {
         connections: 130,
         instance: String::new(),
@@ -158,12 +164,36 @@
         region: "tayside".to_owned(),
         service: "ordering".to_owned(),
         slots: 10,
-        version: String::new(),
+        version: version.to_owned(),
         vm: vm(index),
         zone: zone.to_owned(),
     })
 }
 
+/// Returns the record of a step of the roll-out that the order at `position` asks for.
+pub(crate) fn rollout(position: Offset, step: RolloutStep) -> Body {
+    Body::Rollout(RolloutRecord {
+        service: "ordering".to_owned(),
+        position,
+        step,
+    })
+}
+
+/// Returns the step that begins a roll-out of `target_version`.
+pub(crate) fn ordered(target_version: &str, duration_ms: u64) -> RolloutStep {
+    RolloutStep::Ordered {
+        target_version: target_version.to_owned(),
+        duration_ms,
+        ordered_unix_ms: 1_000,
+    }
+}
+
+pub(crate) fn rolled_back(reason: &str) -> RolloutStep {
+    RolloutStep::RolledBack {
+        reason: reason.to_owned(),
+    }
+}
+
 pub(crate) fn plans(shards: u32) -> Body {
     plans_with(0, shards)
 }
--- a/crates/membership/src/agent_lifecycle.rs
+++ b/crates/membership/src/agent_lifecycle.rs
@@ -18,7 +18,9 @@
     pub(crate) fn advance_lifecycle(&mut self, now: Duration, actions: &mut Vec<Action>) {
         match &self.state {
             MemberState::Absent(absent) if self.may_join(now, absent.not_before) => {
-                if !self.must_publish_own_rollout(now, actions) {
+                if self.must_publish_own_rollout(now, actions) {
+                    self.publish_declarations(now, actions);
+                } else {
                     self.join(now, actions);
                 }
             }
@@ -89,6 +91,7 @@
             return;
         }
         if self.must_publish_own_rollout(now, actions) {
+            self.publish_declarations(now, actions);
             return;
         }
         self.appends.append(now, body, actions);
--- a/crates/membership/src/agent_moves.rs
+++ b/crates/membership/src/agent_moves.rs
@@ -4,10 +4,14 @@
 use std::time::Duration;
 
 use cluster::Body;
+use cluster::RolloutState;
+use cluster::VersionRole;
 use cluster::plan_moves;
 use cluster::plan_pins;
+use cluster::plan_trial_moves;
 use cluster::plan_unpins;
 use ids::Unit;
+use ids::VmId;
 
 use crate::Action;
 use crate::Agent;
@@ -15,6 +19,7 @@
 use crate::Destination;
 use crate::MemberState;
 use crate::MoveReason;
+use crate::schedule::is_due;
 use crate::times::EVACUATION_BUDGET;
 use crate::times::EVACUATION_PLAN_INTERVAL;
 use crate::times::MAX_RANGES;
@@ -41,6 +46,7 @@
         // The interval depends on the present state, as an evacuation may begin soon after a plan that balances load.
         let last_plan = self.schedule.last_move_plan;
         if last_plan.is_some_and(|last_plan| now < last_plan + interval) {
+            self.plan_trial(now, actions);
             return;
         }
         self.schedule.last_move_plan = Some(now);
@@ -53,7 +59,9 @@
         self.loads.pending_zones = self.pending_zones(now);
         self.loads.max_shards = polls.then_some(MAX_RANGES);
         self.loads.tolerance = self.cfg.load_tolerance;
-        self.plan_moves(actions);
+        let moves = plan_moves(self.log.fleet(), &self.cfg.vm, &self.loads);
+        let is_idle = !self.hand_over(moves, actions);
+        self.schedule.has_nothing_to_move = is_idle;
         if !is_evacuating && !polls {
             self.plan_pins(now, actions);
         }
@@ -68,10 +76,23 @@
             || member.is_some_and(|member| !self.pending_zones(now).is_candidate(fleet, member))
     }
 
-    fn plan_moves(&mut self, actions: &mut Vec<Action>) {
+    /// Plans the moves of units on trial between two plans that balance load. A trial may last for a few seconds only.
+    fn plan_trial(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let fleet = self.log.fleet();
+        let service = self.upstream.accepted().map(|accepted| &accepted.service);
+        let rollout = service.and_then(|service| fleet.rollout(service));
+        let is_on_trial = rollout.is_some_and(|rollout| rollout.state == RolloutState::Trial);
+        if is_on_trial && is_due(&mut self.schedule.next_trial_plan, now, MOVE_PLAN_INTERVAL) {
+            let moves = plan_trial_moves(fleet, &self.cfg.vm, &self.loads);
+            self.hand_over(moves, actions);
+        }
+    }
+
+    /// Starts to hand units over to other members. Reports whether there are any.
+    fn hand_over(&mut self, moves: Vec<(VmId, Vec<Unit>)>, actions: &mut Vec<Action>) -> bool {
         let fleet = self.log.fleet();
         let mut plan = BTreeMap::new();
-        for (vm, units) in plan_moves(fleet, &self.cfg.vm, &self.loads) {
+        for (vm, units) in moves {
             let Some(member) = fleet.members().get(&vm) else {
                 continue;
             };
@@ -85,10 +106,11 @@
             // released.
             self.owned_units.finish_drain(&units);
         }
-        self.schedule.has_nothing_to_move = units.is_empty();
-        if !units.is_empty() {
+        let has_units = !units.is_empty();
+        if has_units {
             actions.push(Action::Drain { units });
         }
+        has_units
     }
 
     fn plan_pins(&mut self, now: Duration, actions: &mut Vec<Action>) {
@@ -135,8 +157,8 @@
             return;
         };
         let incarnation = active.incarnation;
-        let reason = self.move_reason(now);
         while let Some((to, units)) = self.owned_units.next_revoked_batch(&self.upstream) {
+            let reason = self.move_reason(now, &to.vm);
             self.owned_units.mark_moving(&units);
             for moved in &units {
                 actions.push(Action::LogDecision(Decision::Moved {
@@ -163,9 +185,15 @@
         }
     }
 
-    fn move_reason(&self, now: Duration) -> MoveReason {
+    fn move_reason(&self, now: Duration, to: &VmId) -> MoveReason {
+        let fleet = self.log.fleet();
+        let is_current = |vm: &VmId| {
+            let member = fleet.members().get(vm);
+            member.is_none_or(|member| fleet.version_role(member) == VersionRole::Current)
+        };
         match self.is_evacuating(now) {
             _ if self.stop_deadline.is_some() => MoveReason::Stopping,
+            _ if !is_current(&self.cfg.vm) || !is_current(to) => MoveReason::Rollout,
             true => MoveReason::TakenOut,
             false => MoveReason::Balance,
         }
--- a/crates/membership/src/agent_rollouts.rs
+++ b/crates/membership/src/agent_rollouts.rs
@@ -29,22 +29,23 @@
     /// Returns the orders that the log has not handled and may accept. None before the declared manifest is published, since
     /// the log refuses an order of a service that it does not know.
     pub(crate) fn unpublished_rollouts(&self) -> Vec<(ServiceId, RolloutOrder)> {
-        if !self.cfg.rollouts_enabled || self.unpublished_revision().is_some() {
+        if self.unpublished_revision().is_some() {
             return Vec::new();
         }
-        let is_unpublished = |service: &ServiceId, order: &RolloutOrder| {
-            let handled = self.log.fleet().rollout(service);
-            let handled = handled.map_or(0, |rollout| rollout.handled_position);
-            let rejected = self.rejected_declarations.rollouts.get(service);
-            order.position > handled && rejected != Some(&order.position)
-        };
         let declared = self.declarations.rollouts.iter();
         declared
-            .filter(|(service, order)| is_unpublished(service, order))
+            .filter(|(service, order)| self.is_unhandled(service, order))
             .map(|(service, order)| (service.clone(), order.clone()))
             .collect()
     }
 
+    fn is_unhandled(&self, service: &ServiceId, order: &RolloutOrder) -> bool {
+        let handled = self.log.fleet().rollout(service);
+        let handled = handled.map_or(0, |rollout| rollout.handled_position);
+        let rejected = self.rejected_declarations.rollouts.get(service);
+        self.cfg.rollouts_enabled && order.position > handled && rejected != Some(&order.position)
+    }
+
     /// Appends an order, in place of an earlier one that is still pending.
     pub(crate) fn publish_rollout(
         &mut self,
@@ -76,7 +77,8 @@
     }
 
     /// Appends the order of the version of the local upstream if the log has not handled it. Reports whether the process must
-    /// not join before that, since the version would count as one that is in force.
+    /// not join before that, since its version would count as one in force. The first members of a fleet join, as the first
+    /// manifest is left to them.
     pub(crate) fn must_publish_own_rollout(
         &mut self,
         now: Duration,
@@ -85,12 +87,17 @@
         let Some(accepted) = self.upstream.accepted() else {
             return false;
         };
-        let is_own = |(service, order): &(ServiceId, RolloutOrder)| {
-            *service == accepted.service && order.target_version == accepted.version
-        };
-        let Some((service, order)) = self.unpublished_rollouts().into_iter().find(is_own) else {
+        let service = &accepted.service;
+        let declared = self.declarations.rollouts.get(service);
+        let Some(order) = declared.filter(|order| {
+            order.target_version == accepted.version && self.is_unhandled(service, order)
+        }) else {
             return false;
         };
+        if self.unpublished_revision().is_some() {
+            return self.log.fleet().revision() > 0;
+        }
+        let (service, order) = (service.clone(), order.clone());
         if self.log.is_healthy(now) {
             self.publish_rollout(now, service, order, actions);
         }
--- a/crates/membership/src/move_reason.rs
+++ b/crates/membership/src/move_reason.rs
@@ -9,6 +9,8 @@
 pub enum MoveReason {
     /// Load or the number of units is balanced between members.
     Balance,
+    /// The unit goes to or from a version on trial, or away from a version that gets nothing any more.
+    Rollout,
     /// The owner is stopping.
     Stopping,
     /// The owner's upstream or zone is taken out of service.
--- a/crates/membership/src/schedule.rs
+++ b/crates/membership/src/schedule.rs
@@ -24,6 +24,8 @@
     pub(crate) next_lost_rewitness: Duration,
     /// Time of the next pull from a peer.
     pub(crate) next_pull: Duration,
+    /// Time of the next plan of the moves of units on trial.
+    pub(crate) next_trial_plan: Duration,
     /// Time of the next replacement of witnesses.
     pub(crate) next_rewitness: Duration,
     /// Time since which the log has lacked declarations of operators, and the version of the configuration that it holds.
