Test orders, versions and trials at members, with real agents

The model of exclusive ownership has faults that order, promote and roll back versions and let upstreams return with another one. Scenarios cover an upstream that returns with another version: on trial it gets no units, its former units wait for the grants that it may still hold, and it gets no grants before its member has joined again. A member beside an upstream of an ordered version joins after the order is in the log.

Without the wait, or with grants before the join is read back, the scenarios find two owners.

--- a/crates/cluster/tests/rollout_model.rs
+++ b/crates/cluster/tests/rollout_model.rs
@@ -182,9 +182,10 @@
     check_property(|steps| {
         write_log(&steps, |before, body, _, after| {
             for (unit, owner) in after.owners() {
-                let is_new = before
-                    .owner(unit)
-                    .is_none_or(|former| former.vm != owner.vm);
+                let version = |fleet: &Fleet| fleet.members()[&owner.vm].join.version.clone();
+                let is_new = before.owner(unit).is_none_or(|former| {
+                    former.vm != owner.vm || version(before) != version(after)
+                });
                 if !is_new || !matches!(unit, Unit::Shard { .. }) {
                     continue;
                 }
--- a/crates/membership/tests/model/faults.rs
+++ b/crates/membership/tests/model/faults.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 
 use cluster::Body;
+use cluster::RolloutRecord;
+use cluster::RolloutStep;
 use membership::Event;
 use rand::RngExt;
 
@@ -19,6 +21,15 @@
 /// Share of faults that are statements of upstreams, where these are included.
 const STATEMENT_PROBABILITY: f64 = 0.4;
 
+/// Share of faults that concern roll-outs, where these are included.
+const ROLLOUT_PROBABILITY: f64 = 0.6;
+
+/// Versions of upstreams while faults are injected.
+const VERSIONS: [&str; 4] = ["", "v1", "v2", "v3"];
+
+/// Version of all upstreams after the faults, which was never ordered.
+const LAST_VERSION: &str = "v9";
+
 /// Maximum number of records that one restore loses.
 const MAX_LOST_RECORDS: usize = 12;
 
@@ -27,6 +38,7 @@
     /// Time of the next fault.
     due: u64,
     has_restores: bool,
+    has_rollouts: bool,
     has_statements: bool,
     /// Time at which all faults are healed.
     until: u64,
@@ -37,6 +49,7 @@
         Self {
             due,
             has_restores: false,
+            has_rollouts: false,
             has_statements: false,
             until,
         }
@@ -50,6 +63,14 @@
         }
     }
 
+    /// Includes roll-outs, and upstreams that return with another version.
+    pub(crate) fn with_rollouts(self) -> Self {
+        Self {
+            has_rollouts: true,
+            ..self
+        }
+    }
+
     /// Includes upstreams that state their departure, or the rate of requests that they accept.
     pub(crate) fn with_statements(self) -> Self {
         Self {
@@ -68,6 +89,9 @@
             if self.has_restores {
                 sim.append_as_operator(plans());
             }
+            if self.has_rollouts {
+                end_rollouts(sim);
+            }
             if self.has_statements {
                 withdraw_statements(sim);
             }
@@ -77,6 +101,8 @@
         if self.has_restores && sim.rng.random_bool(RESTORE_PROBABILITY) {
             let lost = sim.rng.random_range(0..=MAX_LOST_RECORDS);
             sim.log.restore(lost);
+        } else if self.has_rollouts && sim.rng.random_bool(ROLLOUT_PROBABILITY) {
+            change_rollout(sim);
         } else if self.has_statements && sim.rng.random_bool(STATEMENT_PROBABILITY) {
             state_something(sim);
         } else {
@@ -119,6 +145,79 @@
     }
 }
 
+/// Orders a version, takes a step of a roll-out, sets the share of a trial, or lets an upstream return with another version.
+fn change_rollout(sim: &mut Simulation) {
+    let index = sim.rng.random_range(0..sim.nodes.len());
+    let position = last_position(sim);
+    let version = VERSIONS[sim.rng.random_range(0..VERSIONS.len())].to_owned();
+    let step = match sim.rng.random_range(0..8) {
+        0 | 1 => RolloutStep::Ordered {
+            target_version: version,
+            duration_ms: 12_000,
+            ordered_unix_ms: 0,
+        },
+        2 => RolloutStep::Promoted,
+        3 => RolloutStep::Completed,
+        4 => RolloutStep::RolledBack {
+            reason: "bad answers".to_owned(),
+        },
+        5 => {
+            let share = sim.rng.random::<f64>();
+            for index in 0..sim.nodes.len() {
+                let delay = sim.rng.random_range(0..SECOND);
+                sim.schedule(delay, index, Input::Home(Event::TrialShare { share }));
+            }
+            return;
+        }
+        6 => {
+            // The version of a process that has not stated it before becomes known.
+            sim.nodes[index].version = version;
+            return;
+        }
+        _ => return replace_upstream(sim, index, version),
+    };
+    let is_order = matches!(step, RolloutStep::Ordered { .. });
+    sim.append_as_operator(Body::Rollout(RolloutRecord {
+        service: "ordering".to_owned(),
+        position: position + u64::from(is_order),
+        step,
+    }));
+}
+
+/// Returns the greatest position of an order that any process knows of.
+fn last_position(sim: &Simulation) -> u64 {
+    let rollouts = sim.nodes.iter().filter_map(|node| {
+        let rollout = node.agent.fleet().rollout("ordering")?;
+        Some(rollout.handled_position)
+    });
+    rollouts.max().unwrap_or_default()
+}
+
+fn replace_upstream(sim: &mut Simulation, index: usize, version: String) {
+    let node = &mut sim.nodes[index];
+    let instance = format!("{index}/{}", sim.at);
+    node.upstream = FakeUpstream::new(sim.at, node.upstream.rate, instance);
+    node.version = version;
+    sim.schedule(MS, index, Input::Home(Event::UpstreamLost));
+}
+
+/// Ends the roll-out that may still run, and replaces all upstreams by ones of a version that was never ordered.
+fn end_rollouts(sim: &mut Simulation) {
+    let position = last_position(sim);
+    for position in position.saturating_sub(3)..=position + 1 {
+        sim.append_as_operator(Body::Rollout(RolloutRecord {
+            service: "ordering".to_owned(),
+            position,
+            step: RolloutStep::RolledBack {
+                reason: "the faults end".to_owned(),
+            },
+        }));
+    }
+    for index in 0..sim.nodes.len() {
+        replace_upstream(sim, index, LAST_VERSION.to_owned());
+    }
+}
+
 /// Replaces all upstreams, and ends all limits.
 fn withdraw_statements(sim: &mut Simulation) {
     for index in 0..sim.nodes.len() {
--- a/crates/membership/tests/model/main.rs
+++ b/crates/membership/tests/model/main.rs
@@ -8,6 +8,7 @@
 mod node;
 mod replacement;
 mod restores;
+mod rollouts;
 mod scenarios;
 mod simulated_log;
 mod simulation;
@@ -124,6 +125,11 @@
     assert_all_pass(Faults::new(FAULTS_FROM, FAULTS_UNTIL).with_statements());
 }
 
+#[test]
+fn no_unit_has_two_owners_while_versions_are_rolled_out() {
+    assert_all_pass(Faults::new(FAULTS_FROM, FAULTS_UNTIL).with_rollouts());
+}
+
 #[test]
 fn detects_a_witness_that_renews_after_it_suspects() {
     assert!(detects_two_owners(BrokenRule::RenewsSuspected, 0..40));
--- a/crates/membership/tests/model/node.rs
+++ b/crates/membership/tests/model/node.rs
@@ -38,6 +38,8 @@
     /// Recorded events, if the node's trace is to be replayed.
     pub(crate) trace: Option<Trace>,
     pub(crate) upstream: FakeUpstream,
+    /// Version that the upstream announces.
+    pub(crate) version: String,
     pub(crate) vm: VmId,
 }
 
@@ -60,6 +62,7 @@
             started: 0,
             trace: None,
             upstream,
+            version: String::new(),
             vm,
         }
     }
@@ -94,7 +97,7 @@
             service: "ordering".to_owned(),
             slots: 10,
             started_unix_ms: 0,
-            version: String::new(),
+            version: self.version.clone(),
         }
     }
 
--- a/crates/membership/tests/model/replacement.rs
+++ b/crates/membership/tests/model/replacement.rs
@@ -18,7 +18,7 @@
 const LATE_JOIN: u64 = 4 * SECOND;
 
 /// Runs until a new record of a type by a writer with this prefix has been appended to the log.
-fn run_until_appended(sim: &mut Simulation, kind: &str, writer: &str) {
+pub(crate) fn run_until_appended(sim: &mut Simulation, kind: &str, writer: &str) {
     let kind = format!(r#""type":"{kind}""#);
     let writer = format!(r#""writer":"{writer}"#);
     let known = sim.log.records(0).len();
--- a/crates/membership/tests/polled/main.rs
+++ b/crates/membership/tests/polled/main.rs
@@ -2,6 +2,7 @@
 
 mod evacuations;
 mod process;
+mod rollouts;
 
 use cluster::Body;
 use cluster::Document;
--- a/crates/membership/tests/polled/process.rs
+++ b/crates/membership/tests/polled/process.rs
@@ -31,6 +31,8 @@
     pub(crate) offset: u64,
     /// Whether records of zones that the process appends are lost.
     pub(crate) loses_zone_records: bool,
+    /// Version that the upstream states.
+    pub(crate) version: String,
 }
 
 impl Process {
@@ -56,6 +58,7 @@
             now: Duration::from_secs(5),
             offset: 1,
             loses_zone_records: false,
+            version: String::new(),
         };
         process.handle(Event::LogIdle);
         process.handle(Event::Declared(OperatorDeclarations {
@@ -122,7 +125,7 @@
                 service: "orders".to_owned(),
                 slots: 9,
                 started_unix_ms: instance,
-                version: String::new(),
+                version: self.version.clone(),
             },
             draining: false,
             handovers: BTreeMap::new(),
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -23,7 +23,12 @@
 
 /// Returns the agent of the process of a VM that has just started.
 pub(crate) fn agent_of(vm: &str) -> Agent {
-    Agent::new(AgentSettings {
+    Agent::new(settings_of(vm))
+}
+
+/// Returns the settings of the process of a VM.
+pub(crate) fn settings_of(vm: &str) -> AgentSettings {
+    AgentSettings {
         evacuation_timeout: Duration::from_secs(5),
         lease: LEASE,
         load_tolerance: None,
@@ -36,7 +41,7 @@
         stop_timeout: std::time::Duration::from_secs(20),
         vm: vm.to_owned(),
         zone: "z".to_owned(),
-    })
+    }
 }
 
 /// Returns a manifest that declares nothing.
