Keep units of unequal load on trial instead of moving them to and fro

A unit that is light among the units of the member that gives it can be far above the mean of the few units on trial. It was then moved back at the next plan, and given again at the one after. If all loads are known, the mean of the service now bounds both limits, so that a unit that is given is not moved back for the same load.

--- a/crates/cluster/src/plan_moves.rs
+++ b/crates/cluster/src/plan_moves.rs
@@ -78,7 +78,7 @@
             fleet,
             base_load: base_load(fleet, member, view),
             me: member,
-            trial_load_limit: trial_load_limit(fleet, me, view),
+            trial_load_limit: trial_load_limit(fleet, member, view),
             trial_units: assign_trial_units(fleet, service, view.trial_share, may_receive),
             view,
         })
@@ -332,11 +332,19 @@
 ///
 /// Returns `None` while the loads of some members of the service are unknown.
 fn base_load(fleet: &Fleet, me: &Member, view: &LoadView) -> Option<f64> {
-    let total = service_load(fleet, me, view).filter(|total| *total > 0.0)?;
+    let mean = mean_service_load(fleet, me, view).filter(|mean| *mean > 0.0)?;
+    Some(BASE_LOAD_FRACTION * mean)
+}
+
+/// Returns the mean load of the shards and pinned keys of a member's service, but for those of other members on trial.
+///
+/// Returns `None` while the loads of some members of the service are unknown.
+pub(crate) fn mean_service_load(fleet: &Fleet, me: &Member, view: &LoadView) -> Option<f64> {
+    let total = service_load(fleet, me, view)?;
     let count: usize = balanced_members(fleet, me)
         .map(|member| fleet.units.keyed_count_of(&member.join.vm))
         .sum();
-    Some(BASE_LOAD_FRACTION * total / count.max(1) as f64)
+    Some(total / count.max(1) as f64)
 }
 
 /// Reports whether a member is in service, as far as this member knows, and does not stop.
--- a/crates/cluster/src/plan_trial.rs
+++ b/crates/cluster/src/plan_trial.rs
@@ -11,6 +11,7 @@
 use crate::Member;
 use crate::RolloutState;
 use crate::VersionRole;
+use crate::plan_moves::mean_service_load;
 use crate::plan_pins::service_members;
 use crate::planner::Planner;
 use crate::rank::hash;
@@ -79,15 +80,26 @@
         .collect()
 }
 
-/// Returns the load above which a unit of a member is not given to a trial, from the mean load of its shards.
-pub(crate) fn trial_load_limit(fleet: &Fleet, me: &VmId, view: &LoadView) -> f64 {
-    let units = fleet.units_of(me).map(|(unit, _)| unit);
+/// Returns the load above which a unit of a member is not given to a trial, or is moved back from it: a multiple of the mean
+/// load of the member's shards.
+///
+/// The few units of a member on trial may have a far lower mean than those of the member that gave them. If the loads of all
+/// members are known, the mean of the service therefore bounds the limit from above where units are given, and from below
+/// where they are moved back, so that no unit goes to and fro.
+pub(crate) fn trial_load_limit(fleet: &Fleet, me: &Member, view: &LoadView) -> f64 {
+    let units = fleet.units_of(&me.join.vm).map(|(unit, _)| unit);
     let shards = units.filter(|unit| matches!(unit, Unit::Shard { .. }));
     let loads = shards.map(|shard| view.unit_loads.get(shard).copied().unwrap_or(0.0));
     let (count, total) = loads.fold((0_u32, 0.0), |(count, total), load| {
         (count + 1, total + load)
     });
-    MAX_TRIAL_LOAD_RATIO * total / f64::from(count.max(1))
+    let own = total / f64::from(count.max(1));
+    let mean = match mean_service_load(fleet, me, view) {
+        Some(mean) if fleet.version_role(me) == VersionRole::Trial => own.max(mean),
+        Some(mean) => own.min(mean),
+        None => own,
+    };
+    MAX_TRIAL_LOAD_RATIO * mean
 }
 
 fn trial_subject(service: &str, position: u64) -> u64 {
--- a/crates/cluster/tests/trial_moves.rs
+++ b/crates/cluster/tests/trial_moves.rs
@@ -383,6 +383,22 @@
     assert_eq!(on_trial.len(), units.len() - 1);
 }
 
+/// Guards against a unit that is not served most of the time because it goes to and fro: it is light among the units of the
+/// member that gives it, and heavy among those on trial.
+#[test]
+fn a_unit_heavier_than_the_others_on_trial_stays_there() {
+    let mut trial = Trial::started(4, 2, 256, None);
+    trial.share = 0.08;
+    let units: Vec<Unit> = trial.expected().into_iter().collect();
+    trial.loads = (0..256).map(|index| (shard(index), 1.0)).collect();
+    for unit in &units {
+        trial.loads.insert(unit.clone(), 0.1);
+    }
+    trial.loads.insert(units[3].clone(), 2.5);
+    trial.settle();
+    assert_eq!(trial.shards_of(VersionRole::Trial), trial.expected());
+}
+
 #[test]
 fn a_unit_that_becomes_far_heavier_than_the_mean_is_moved_back() {
     let mut trial = Trial::started(4, 2, 256, None);
