--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -23,7 +23,12 @@
 
 /// Returns the agent of the process of a VM that has just started.
 pub(crate) fn agent_of(vm: &str) -> Agent {
-    Agent::new(AgentSettings {
+    Agent::new(settings_of(vm))
+}
+
+/// Returns the settings of the process of a VM.
+pub(crate) fn settings_of(vm: &str) -> AgentSettings {
+    AgentSettings {
         evacuation_timeout: Duration::from_secs(5),
         lease: LEASE,
         load_tolerance: None,
@@ -31,11 +36,12 @@
         peer: "10.0.0.1:7000".parse().unwrap(),
         region: "r".to_owned(),
         retention: None,
+        rollouts_enabled: true,
         seed: 7,
         stop_timeout: std::time::Duration::from_secs(20),
         vm: vm.to_owned(),
         zone: "z".to_owned(),
-    })
+    }
 }
 
 /// Returns a manifest that declares nothing.
@@ -78,6 +84,7 @@
             region: "r".to_owned(),
             service: "orders".to_owned(),
             slots: 4,
+            version: String::new(),
             vm: vm(index),
             zone: "z".to_owned(),
         })
