--- a/crates/policy/src/latency_histogram.rs
+++ b/crates/policy/src/latency_histogram.rs
@@ -43,14 +43,15 @@
         }
     }
 
-    /// Returns the median in milliseconds, interpolated within its bucket, or `None` without answers.
-    pub fn median_ms(&self) -> Option<f64> {
-        let half = self.total() as f64 / 2.0;
+    /// Returns the time in milliseconds that the given fraction of answers doesn't exceed, interpolated within its bucket, or
+    /// `None` without answers.
+    pub fn quantile_ms(&self, fraction: f64) -> Option<f64> {
+        let wanted = self.total() as f64 * fraction;
         let mut below = 0.0;
         for (index, &count) in self.counts.iter().enumerate() {
             let count = count as f64;
-            if count > 0.0 && below + count >= half {
-                let within = (half - below) / count;
+            if count > 0.0 && below + count >= wanted {
+                let within = (wanted - below) / count;
                 return Some(2_f64.powf((index as f64 + within) / 2.0));
             }
             below += count;
