--- a/crates/policy/src/rollout_allotment.rs
+++ b/crates/policy/src/rollout_allotment.rs
@@ -6,7 +6,8 @@
 /// Credit of one entry for requests to the version on trial of one service.
 ///
 /// Only answers add credit, so requests without an answer never do. The credit at the start is the only part that the share
-/// doesn't cover. Over all entries its sum is at most the extra requests that the settings allow.
+/// doesn't cover. Its sum over all entries is at most the number of extra requests that the settings allow. An entry that
+/// restarts loses about as much credit as it starts with, so that restarts add nothing in the mean.
 #[derive(Clone, Copy, Debug)]
 pub struct RolloutAllotment {
     credit: f64,
@@ -17,12 +18,12 @@
     ///
     /// The `phase` is the entry's rank among the entries, plus 0.5, over their number. It spreads the first requests of
     /// entries evenly over the answers that they see. `max_extra` is the entry's part of the extra requests that the settings
-    /// allow: their number over that of entries.
+    /// allow: their number over that of entries. Where it is below 0.5, it lowers the credit at the start.
     pub fn new(phase: f64, max_extra: f64) -> Self {
-        // Phases are 0.5 in the mean, so that twice the part is used up by all entries together.
+        // The mean phase is 0.5, so the sum over all entries is at most the number of extra requests.
         let scale = (2.0 * max_extra).clamp(0.0, 1.0);
         Self {
-            credit: phase.clamp(0.0, 1.0 - f64::EPSILON) * scale,
+            credit: phase.clamp(0.0, 1.0) * scale,
         }
     }
 
--- a/crates/policy/src/rollout_schedule.rs
+++ b/crates/policy/src/rollout_schedule.rs
@@ -29,6 +29,12 @@
 /// Time before the end at which the outcome is appended at the latest, so that the status is written within the duration.
 const CLOSING_TIME: Duration = Duration::from_millis(700);
 
+/// Least time from `Promoted` to the closing, in which entries move to the target version and old homes report.
+const HANDOVER_TIME: Duration = Duration::from_secs(2);
+
+/// Least time in which promotion may begin, where the duration is too short for [`HANDOVER_TIME`].
+const MIN_PROMOTION_WINDOW: Duration = Duration::from_millis(500);
+
 /// Shares and times of a roll-out, by the time since its order.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolloutSchedule {
@@ -67,6 +73,14 @@
         self.duration - wanted.min(self.duration.mul_f64(MAX_PROMOTION_PART))
     }
 
+    /// Returns the time since the order at which promotion begins at the latest.
+    ///
+    /// A later one would be completed while old homes still serve a part of the requests.
+    pub(crate) fn last_promotion(&self) -> Duration {
+        let last = self.closing_start().saturating_sub(HANDOVER_TIME);
+        last.max(self.promotion_start() + MIN_PROMOTION_WINDOW)
+    }
+
     /// Returns the time since the order at which the outcome is appended at the latest.
     pub fn closing_start(&self) -> Duration {
         self.duration.saturating_sub(CLOSING_TIME)
