Pass the address of the client to the handler of a request

The entry recognises calls of the local upstream by the address of their sender, which the server dropped after accepting the connection. Each request now has the address as the extension RemoteAddress.

cargo test -p httpd: passes, with a new test that reads the address.

--- a/crates/httpd/src/connection_context.rs
+++ b/crates/httpd/src/connection_context.rs
@@ -18,6 +18,7 @@
 use crate::Handler;
 use crate::Limits;
 use crate::RefusalReason;
+use crate::RemoteAddress;
 use crate::answer_body::AnswerBody;
 use crate::byte_reservation::ByteReservation;
 use crate::connection_state::ConnectionState;
@@ -27,6 +28,7 @@
     pub(crate) handler: Arc<H>,
     pub(crate) held_bytes: Arc<AtomicUsize>,
     pub(crate) limits: Arc<Limits>,
+    pub(crate) remote_address: RemoteAddress,
     pub(crate) state: Arc<ConnectionState>,
     pub(crate) stop: CancellationToken,
 }
@@ -58,7 +60,8 @@
         req: Request<Incoming>,
         reservation: &mut ByteReservation,
     ) -> Result<Request<Bytes>, RefusalReason> {
-        let (parts, body) = req.into_parts();
+        let (mut parts, body) = req.into_parts();
+        parts.extensions.insert(self.remote_address);
         let limit = self.limits.request_timeout;
         let body = timeout(limit, self.read_body(body, reservation))
             .await
--- a/crates/httpd/src/lib.rs
+++ b/crates/httpd/src/lib.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod listen;
 mod refusal_reason;
+mod remote_address;
 mod serve;
 
 pub use byte_reservation::ByteReservation;
@@ -17,4 +18,5 @@
 pub use limits::Limits;
 pub use listen::listen;
 pub use refusal_reason::RefusalReason;
+pub use remote_address::RemoteAddress;
 pub use serve::serve;
--- a/crates/httpd/src/serve.rs
+++ b/crates/httpd/src/serve.rs
@@ -16,6 +16,7 @@
 use crate::Handler;
 use crate::Limits;
 use crate::RefusalReason;
+use crate::RemoteAddress;
 use crate::connection::send_refusal;
 use crate::connection::serve_connection;
 use crate::connection_context::ConnectionContext;
@@ -88,7 +89,7 @@
 
     async fn handle_accept(&self, accepted: io::Result<(TcpStream, SocketAddr)>) {
         match accepted {
-            Ok((stream, _)) => self.start_connection(stream),
+            Ok((stream, remote)) => self.start_connection(stream, RemoteAddress(remote)),
             Err(error) => {
                 log::warn!("cannot accept a connection ({error}): raise the limit of open files");
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -96,7 +97,7 @@
         }
     }
 
-    fn start_connection(&self, stream: TcpStream) {
+    fn start_connection(&self, stream: TcpStream, remote_address: RemoteAddress) {
         let _ = stream.set_nodelay(true);
         let Ok(permit) = self.connection_permits.clone().try_acquire_owned() else {
             self.refuse_connection(stream);
@@ -106,6 +107,7 @@
             handler: self.handler.clone(),
             held_bytes: self.held_bytes.clone(),
             limits: self.limits.clone(),
+            remote_address,
             state: Arc::new(ConnectionState::default()),
             stop: self.stop.clone(),
         };
--- a/crates/httpd/tests/httpd/bounds.rs
+++ b/crates/httpd/tests/httpd/bounds.rs
@@ -161,6 +161,17 @@
     server.handler.dropped.notified().await;
 }
 
+#[tokio::test]
+async fn handler_gets_the_address_of_the_client() {
+    let server = Server::start(limits()).await;
+    let mut stream = server.connect().await;
+    let client = stream.local_addr().unwrap().to_string();
+    let text = "GET /address HTTP/1.1\r\nconnection: close\r\n\r\n";
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let answer = read_to_end(&mut stream).await;
+    assert!(answer.ends_with(&client), "{answer}");
+}
+
 #[tokio::test]
 async fn pipelined_requests_are_answered_in_order() {
     let server = Server::start(limits()).await;
--- a/crates/httpd/tests/httpd/server.rs
+++ b/crates/httpd/tests/httpd/server.rs
@@ -11,6 +11,7 @@
 use httpd::Handler;
 use httpd::Limits;
 use httpd::RefusalReason;
+use httpd::RemoteAddress;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -19,7 +20,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-/// Answers with the body of the request. `/wait` answers once released, and `/large` answers with 32 MiB.
+/// Answers with the body of the request. `/address` answers with the address of the client, `/wait` answers once released, and `/large` answers with 32 MiB.
 #[derive(Default)]
 pub(crate) struct EchoHandler {
     pub(crate) dropped: Notify,
@@ -39,6 +40,10 @@
 impl Handler for EchoHandler {
     async fn handle(&self, req: Request<Bytes>) -> Response<Bytes> {
         match req.uri().path() {
+            "/address" => {
+                let address = req.extensions().get::<RemoteAddress>().unwrap();
+                Response::new(address.0.to_string().into())
+            }
             "/large" => Response::new(vec![b'x'; 32 << 20].into()),
             "/wait" => {
                 let _notify_on_drop = NotifyOnDrop(&self.dropped);
