Rank and bound calls of running requests by their parents

A call that an upstream makes while it runs a request was ranked by the priority of its own route and bounded by the target latency of that route, so that it was refused while its parent could still have waited. Without a needed call the parent fails.

With the queue by rank, the entry now recognises a call without a tenant key by the address of its sender, that of the accepted local upstream, and finds its parent by the deadline among the requests that run at the local home (within 50 ms; the most urgent one, and of those one that may not run again). The dispatch states the parent (tag 29, left out when there is none). A call has the first rank of its parent's priority, and goes before new work of that rank by its class, first the calls of parents that may not run again. It waits until its deadline less the expected time on the upstream, and displaces the newest of the least urgent new work from a full queue. One of eight dispatches still takes the oldest request. The ranks of all other requests are unchanged, also on the wire, so that processes of the previous version read them as before.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -6,14 +6,16 @@
 use crate::PopResult;
 use crate::PushResult;
 use crate::QueuedRequest;
+use crate::RequestClass;
 
 /// Queue of requests that decides in which order they are dispatched to an upstream.
 pub trait Queue: Debug {
     /// Payload of a request.
     type Item;
 
-    /// Returns the number of requests that would be dispatched before a new one with the given rank.
-    fn count_ahead(&self, _rank: u32) -> usize {
+    /// Returns the number of requests that would be dispatched before a new one with the given rank and
+    /// class.
+    fn count_ahead(&self, _rank: u32, _class: RequestClass) -> usize {
         self.len()
     }
 
--- a/crates/policy/src/queued_request.rs
+++ b/crates/policy/src/queued_request.rs
@@ -5,9 +5,13 @@
 use ids::RequestId;
 use ids::WorkspaceId;
 
+use crate::RequestClass;
+
 /// Request in a queue.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct QueuedRequest<T> {
+    /// Class of the request among those of its rank.
+    pub class: RequestClass,
     /// Time since the start of the process after which the caller no longer waits for the answer.
     pub deadline: Duration,
     /// Unique id of the request.
--- a/crates/policy/src/service_times.rs
+++ b/crates/policy/src/service_times.rs
@@ -57,6 +57,24 @@
         (now + self.expected_wait(ahead, slots) < until).then_some(until)
     }
 
+    /// Returns the time until which a call behind `ahead` others waits for one of `slots`.
+    ///
+    /// Returns `None` if the call is expected to get a slot too late. The call waits as long as its answer
+    /// is expected before `deadline`, the time limit of its parent, whatever the target latency of its
+    /// route.
+    pub fn call_wait_deadline(
+        &self,
+        now: Duration,
+        target: Duration,
+        deadline: Duration,
+        ahead: usize,
+        slots: u32,
+    ) -> Option<Duration> {
+        let until = now + self.max_wait(target, deadline.saturating_sub(now));
+        let until = until.min(deadline);
+        (now + self.expected_wait(ahead, slots) < until).then_some(until)
+    }
+
     /// Returns how long a request may wait and, on average, still meet its target latency.
     ///
     /// The result is never less than `target / MIN_WAIT_DIVISOR`.
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -9,6 +9,7 @@
 use policy::Queue;
 use policy::QueueBounds;
 use policy::QueuedRequest;
+use policy::RequestClass;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -20,6 +21,7 @@
 
 fn request(workspace: &str, weight: u32, id: u64, deadline: Duration) -> QueuedRequest<Duration> {
     QueuedRequest {
+        class: RequestClass::NewWork,
         deadline,
         id: format!("{workspace}{id}"),
         item: Duration::ZERO,
--- a/crates/policy/tests/ranked.rs
+++ b/crates/policy/tests/ranked.rs
@@ -6,6 +6,9 @@
 use policy::Queue;
 use policy::QueuedRequest;
 use policy::RankedQueue;
+use policy::RankedRequest;
+use policy::RankedWorkspace;
+use policy::RequestClass;
 use policy::StartRateLimiter;
 use policy::compute_rank;
 
@@ -13,6 +16,7 @@
 
 fn request(id: &str, rank: u32, deadline: Duration) -> QueuedRequest<()> {
     QueuedRequest {
+        class: RequestClass::NewWork,
         deadline,
         id: id.to_owned(),
         item: (),
@@ -22,6 +26,14 @@
     }
 }
 
+fn new_work(workspace: Option<Option<u32>>, route_priority: u32, is_late: bool) -> RankedRequest {
+    RankedRequest::NewWork {
+        is_late,
+        route_priority,
+        workspace: workspace.map(|priority| RankedWorkspace { priority }),
+    }
+}
+
 fn next(queue: &mut RankedQueue<()>, now: Duration) -> Option<String> {
     queue.pop(now).next.map(|request| request.id)
 }
@@ -42,12 +54,12 @@
 
 #[test]
 fn ranks_follow_the_workspace_then_calls_of_upstreams_then_the_route_then_the_target_latency() {
-    let urgent_workspace = compute_rank(Some(0), 9, true, true);
-    let call = compute_rank(None, 1, false, false);
-    let urgent_route = compute_rank(Some(1), 1, true, false);
-    let urgent_route_late = compute_rank(Some(1), 1, true, true);
-    let other_route = compute_rank(Some(1), 2, true, false);
-    let no_priority = compute_rank(None, 2, true, false);
+    let urgent_workspace = compute_rank(&new_work(Some(Some(0)), 9, true));
+    let call = compute_rank(&new_work(None, 1, false));
+    let urgent_route = compute_rank(&new_work(Some(Some(1)), 1, false));
+    let urgent_route_late = compute_rank(&new_work(Some(Some(1)), 1, true));
+    let other_route = compute_rank(&new_work(Some(Some(1)), 2, false));
+    let no_priority = compute_rank(&new_work(Some(None), 2, false));
     let ranks = [
         urgent_workspace,
         call,
@@ -57,7 +69,10 @@
         no_priority,
     ];
     assert!(ranks.is_sorted_by(|a, b| a < b), "{ranks:?}");
-    assert_eq!(compute_rank(Some(u32::MAX), 1, true, false), u32::MAX);
+    assert_eq!(
+        compute_rank(&new_work(Some(Some(u32::MAX)), 1, false)),
+        u32::MAX
+    );
 }
 
 #[test]
--- a/crates/policy/tests/service_times.rs
+++ b/crates/policy/tests/service_times.rs
@@ -5,6 +5,7 @@
 use policy::Queue;
 use policy::QueuedRequest;
 use policy::RankedQueue;
+use policy::RequestClass;
 use policy::ServiceTimes;
 
 const MS: Duration = Duration::from_millis(1);
@@ -58,6 +59,7 @@
     let mut queue = RankedQueue::new(10);
     for rank in [0, 1, 1, 2] {
         queue.push(QueuedRequest {
+            class: RequestClass::NewWork,
             deadline: Duration::MAX,
             id: rank.to_string(),
             item: (),
@@ -66,7 +68,9 @@
             workspace: "acme".to_owned(),
         });
     }
-    let ahead: Vec<_> = (0..4).map(|rank| queue.count_ahead(rank)).collect();
+    let ahead: Vec<_> = (0..4)
+        .map(|rank| queue.count_ahead(rank, RequestClass::NewWork))
+        .collect();
     assert_eq!(ahead, [1, 3, 4, 4]);
 }
 
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -11,20 +11,25 @@
 use http::Response;
 use httpd::Handler;
 use httpd::RefusalReason;
+use httpd::RemoteAddress;
 use ids::RequestId;
 use policy::AdmittedRequest;
 use policy::AuthenticatedRequest;
 use policy::Fingerprint;
 use policy::Outcome;
+use policy::RankedRequest;
+use policy::RankedWorkspace;
 use policy::Reason;
 use policy::ReceivedRequest;
 use policy::RecentRefusals;
 use policy::Refusal;
+use policy::RunningParent;
 use policy::SuspicionLevel;
 use policy::compute_rank;
 use uuid::Uuid;
 use wire::Answer;
 use wire::Dispatch;
+use wire::ParentRequest;
 
 use crate::clock::milliseconds;
 use crate::clock::unix_ms;
@@ -39,8 +44,10 @@
 use crate::entry::responses::refusal_response;
 use crate::entry::responses::rejection_response;
 use crate::entry::responses::rejection_status;
+use crate::home::Home;
 use crate::limits::WorkspaceLimiters;
 use crate::quarantine::suspicion_level;
+use crate::settings::QueueKind;
 use crate::shared::Shared;
 use crate::view::View;
 
@@ -49,6 +56,7 @@
 
 /// Authenticates, admits and routes the requests of callers.
 pub(crate) struct CallerService {
+    pub(crate) home: Arc<Home>,
     pub(crate) keyed_router: KeyedRouter,
     pub(crate) keyless_router: KeylessRouter,
     pub(crate) limiters: Arc<WorkspaceLimiters>,
@@ -108,6 +116,7 @@
         if let Some(reason) = self.unavailable_reason(&view) {
             return Err(ReceivedRequest::refuse_unreadable(reason));
         }
+        let sender = req.extensions().get::<RemoteAddress>().copied();
         let request =
             CallerRequest::parse(req, view.fleet.plans(), &self.shared, &self.traffic_splits)
                 .map_err(|reason| ReceivedRequest::refuse_unreadable(view.known_reason(reason)))?;
@@ -126,6 +135,10 @@
                 ));
             }
         };
+        let parent = match &credentials {
+            Some(_) => None,
+            None => self.find_parent(sender, now + request.caller_timeout),
+        };
         let workspace = credentials
             .as_ref()
             .map(|credentials| credentials.workspace.clone());
@@ -138,7 +151,13 @@
         let returned_after = now.saturating_sub(first_arrived);
         let dispatch = Dispatch {
             fingerprint,
-            ..self.build_dispatch(&admitted, request, credentials.as_ref(), returned_after)
+            ..self.build_dispatch(
+                &admitted,
+                request,
+                credentials.as_ref(),
+                returned_after,
+                parent.as_ref(),
+            )
         };
         let admitted = self.check_quarantine(admitted, &dispatch)?;
         if dispatch.key.is_some() {
@@ -148,6 +167,21 @@
         }
     }
 
+    /// Returns the request that made a call without a tenant key, if the call comes from the local upstream while it runs a
+    /// request with the same deadline. Only the ranked queue distinguishes calls.
+    fn find_parent(
+        &self,
+        sender: Option<RemoteAddress>,
+        deadline: Duration,
+    ) -> Option<RunningParent> {
+        if self.shared.policy.queue != QueueKind::Ranked {
+            return None;
+        }
+        let parent = self.home.find_parent(sender?.ip(), deadline)?;
+        self.shared.metrics.count_event("caller", "upstream-call");
+        Some(parent)
+    }
+
     /// Records the identity of a request, and returns the time at which it first arrived: `now` unless it was refused
     /// before.
     fn record_arrival(
@@ -264,6 +298,7 @@
         request: CallerRequest,
         credentials: Option<&Credentials>,
         returned_after: Duration,
+        parent: Option<&RunningParent>,
     ) -> Dispatch {
         let view = self.shared.view();
         let workspace = admitted.workspace().cloned();
@@ -275,17 +310,32 @@
             .head()
             .deadline
             .saturating_sub(self.shared.clock.now());
-        let queue_time =
-            remaining * u32::try_from(self.shared.limits.queue_percent).unwrap_or(100) / 100;
+        let queue_percent = u32::try_from(self.shared.limits.queue_percent).unwrap_or(100);
+        let queue_time = match parent {
+            // The answer to a call is of use to its parent until the deadline.
+            Some(_) => remaining,
+            None => remaining * queue_percent / 100,
+        };
+        let ranked = match parent {
+            Some(parent) => RankedRequest::Call {
+                parent_rank: parent.rank,
+            },
+            None => RankedRequest::NewWork {
+                is_late: !returned_after.is_zero() && returned_after >= request.target_latency,
+                route_priority: request.priority,
+                workspace: workspace.as_ref().map(|_| RankedWorkspace {
+                    priority: plan.and_then(|plan| plan.priority),
+                }),
+            },
+        };
         Dispatch {
             caller_service: self.shared.caller_service.clone(),
             headers,
-            priority: compute_rank(
-                plan.and_then(|plan| plan.priority),
-                request.priority,
-                workspace.is_some(),
-                !returned_after.is_zero() && returned_after >= request.target_latency,
-            ),
+            parent: parent.map(|parent| ParentRequest {
+                priority: parent.rank,
+                repeatable: parent.is_repeatable,
+            }),
+            priority: compute_rank(&ranked),
             queue_ms: milliseconds(queue_time),
             request_id: admitted.head().id.clone(),
             returned_after_ms: milliseconds(returned_after),
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -24,6 +24,7 @@
 use crate::home::Home;
 use crate::home::crash_report::CrashReport;
 use crate::home::local_upstream::LocalUpstream;
+use crate::home::messages::class_of;
 use crate::home::messages::encode_answer;
 use crate::home::messages::encode_statement;
 use crate::home::messages::grant_of;
@@ -91,6 +92,7 @@
         let target_left_ms = self.dispatch.target_latency_ms;
         let target_left_ms = target_left_ms.saturating_sub(returned_after_ms);
         self.home.enqueue(QueuedRequest {
+            class: class_of(&self.dispatch),
             deadline: self.queue_deadline(),
             id: self.dispatch.request_id.clone(),
             item: WaitingRequest {
@@ -101,6 +103,7 @@
                 fingerprint: self.dispatch.fingerprint.clone(),
                 grant: grant_of(&self.dispatch),
                 is_hedge: self.dispatch.hedge,
+                is_idempotent: self.dispatch.idempotent,
                 key: self.dispatch.key.clone(),
                 service: self.dispatch.service.clone(),
                 target_left: Duration::from_millis(target_left_ms),
@@ -292,8 +295,9 @@
             .metrics
             .count_event("home", &refused.reason);
         let state = self.home.lock();
+        let class = class_of(&self.dispatch);
         let details = DecisionDetails {
-            ahead: Some(state.queue.count_ahead(self.dispatch.priority)),
+            ahead: Some(state.queue.count_ahead(self.dispatch.priority, class)),
             not_run: Some(refused.not_run),
             rank: Some(self.dispatch.priority),
             target_latency_ms: Some(self.dispatch.target_latency_ms),
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -1,6 +1,7 @@
 //! Service that runs the requests for the units that this process owns.
 
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -20,6 +21,7 @@
 use policy::PushResult;
 use policy::QueuedRequest;
 use policy::Reason;
+use policy::RunningParent;
 use policy::Statement;
 use policy::StatusReply;
 use policy::Ticket;
@@ -223,6 +225,23 @@
         }
     }
 
+    /// Returns the running request that has made a call, given the address of its sender and its deadline. Returns `None` if
+    /// the sender is not the accepted upstream, or no running request matches.
+    pub(crate) fn find_parent(
+        &self,
+        sender: IpAddr,
+        call_deadline: Duration,
+    ) -> Option<RunningParent> {
+        let view = self.shared.view();
+        let upstream = view.upstream.as_ref()?;
+        if upstream.address.ip().to_canonical() != sender {
+            return None;
+        }
+        let state = self.lock();
+        let running = state.running.values();
+        RunningParent::find(running.map(|running| running.parent.clone()), call_deadline)
+    }
+
     /// Adds a request to the queue. Its channel receives the permit or the refusal.
     pub(crate) fn enqueue(self: &Arc<Self>, mut queued: QueuedRequest<WaitingRequest>) {
         let now = self.shared.clock.now();
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -24,6 +24,7 @@
 use policy::QueuedRequest;
 use policy::RankedQueue;
 use policy::RequestMemory;
+use policy::RunningParent;
 use policy::ServiceTimes;
 use policy::StartRateLimiter;
 use policy::Suspects;
@@ -86,6 +87,8 @@
 pub(crate) struct RunningRequest {
     pub(crate) fingerprint: Fingerprint,
     pub(crate) key: Option<String>,
+    /// The request as the parent of calls that the upstream makes while it runs the request.
+    pub(crate) parent: RunningParent,
     /// Time at which the request arrived at the home.
     pub(crate) arrived_at: Duration,
     /// Target latency of the route, zero when it has none.
--- a/crates/router/src/home/messages.rs
+++ b/crates/router/src/home/messages.rs
@@ -14,6 +14,7 @@
 use policy::NewRequest;
 use policy::Outcome as RunOutcome;
 use policy::Reason;
+use policy::RequestClass;
 use policy::Statement;
 use upstream::Grant;
 use upstream::Request;
@@ -60,6 +61,14 @@
     Some((unit, dispatch.fence))
 }
 
+/// Returns the class of a dispatch in the queue.
+pub(crate) fn class_of(dispatch: &Dispatch) -> RequestClass {
+    let parent = dispatch.parent.as_ref();
+    parent.map_or(RequestClass::NewWork, |parent| {
+        RequestClass::of_call(parent.repeatable)
+    })
+}
+
 /// Returns a dispatch in the form that the request memory takes.
 pub(crate) fn new_request(dispatch: &Dispatch) -> NewRequest {
     let workspace = dispatch.workspace.clone().unwrap_or_default();
--- a/crates/router/src/home/request_starter.rs
+++ b/crates/router/src/home/request_starter.rs
@@ -8,6 +8,7 @@
 use policy::PopResult;
 use policy::QueuedRequest;
 use policy::Reason;
+use policy::RunningParent;
 use policy::StartDecision;
 use policy::Ticket;
 
@@ -148,9 +149,16 @@
         if let Some(unit) = &unit {
             self.state.units.record_start(unit.unit());
         }
+        let bound = self.view.request_deadline.filter(|_| unit.is_some());
+        let deadline = queued.item.deadline;
         let running = RunningRequest {
             fingerprint: queued.item.fingerprint,
             key: queued.item.key,
+            parent: RunningParent {
+                deadline: bound.map_or(deadline, |bound| bound.min(deadline)),
+                is_repeatable: queued.item.is_idempotent,
+                rank: queued.rank,
+            },
             arrived_at: queued.item.arrived_at,
             target_latency: queued.item.target_latency,
             unit,
--- a/crates/router/src/home/upstream_capacity.rs
+++ b/crates/router/src/home/upstream_capacity.rs
@@ -69,7 +69,7 @@
     }
 
     fn count_ahead(&self, queued: &QueuedRequest<WaitingRequest>) -> usize {
-        self.queue.count_ahead(queued.rank) + usize::from(self.blocked.is_some())
+        self.queue.count_ahead(queued.rank, queued.class) + usize::from(self.blocked.is_some())
     }
 
     /// Returns how long a request would wait for the rate that the upstream states, or `None` if it states none or the request
@@ -99,13 +99,14 @@
         if queued.item.is_hedge && is_delayed {
             return None;
         }
-        let until = match target.is_zero() {
-            true => queued.deadline,
-            false => {
-                let times = &self.service_times;
-                let until = times.wait_deadline(now, target, left, ahead, slots)?;
-                until.min(queued.deadline)
-            }
+        let times = &self.service_times;
+        let until = if queued.class.is_call() {
+            times.call_wait_deadline(now, target, queued.deadline, ahead, slots)?
+        } else if target.is_zero() {
+            queued.deadline
+        } else {
+            let until = times.wait_deadline(now, target, left, ahead, slots)?;
+            until.min(queued.deadline)
         };
         (delay.is_zero() || now + delay < until).then_some(until)
     }
--- a/crates/router/src/home/waiting_request.rs
+++ b/crates/router/src/home/waiting_request.rs
@@ -27,6 +27,8 @@
     pub(crate) grant: Option<(Unit, Fence)>,
     /// Whether another home may be running the same request.
     pub(crate) is_hedge: bool,
+    /// Whether running the request several times has the same effect as once.
+    pub(crate) is_idempotent: bool,
     pub(crate) key: Option<String>,
     pub(crate) service: ServiceId,
     /// Remaining part of the target latency.
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -303,6 +303,7 @@
         tokio::spawn(async move { acknowledgments.run().await });
         tokio::spawn(Arc::clone(&limiters).run());
         CallerService {
+            home: Arc::clone(&self.home),
             keyed_router: KeyedRouter {
                 home_client: Arc::clone(&home_client),
             },
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -66,6 +66,7 @@
 pub use message::NotOwner;
 pub use message::Notice;
 pub use message::Outcome;
+pub use message::ParentRequest;
 pub use message::PullRecords;
 pub use message::PullSnapshot;
 pub use message::PulledRecord;
--- a/crates/wire/src/message/dispatch.rs
+++ b/crates/wire/src/message/dispatch.rs
@@ -9,6 +9,7 @@
 use prost::Message;
 
 use crate::message::Header;
+use crate::message::ParentRequest;
 
 /// A caller's request, sent from the entry to the home.
 #[derive(Clone, PartialEq, Message)]
@@ -96,4 +97,7 @@
     /// Revision of the manifest that was in force at the entry, or 0 if there is none.
     #[prost(uint64, tag = "28")]
     pub entry_revision: u64,
+    /// The running request that has made this one, absent unless the request is a call.
+    #[prost(message, optional, tag = "29")]
+    pub parent: Option<ParentRequest>,
 }
