Reject answers with an invalid status

The client of the upstream passed on every answer whose head hyper reads. Measured with a raw stand-in that sends a proper request id and body: - 101, 600, 799 and 999 were passed on to callers as answers (101 without its body). - 000, 001, 099, 99, 1000 and a missing status were rejected before by hyper's parser, and their connections closed. No answer with 000 could be made to reach a caller. - A 1xx other than 101 without a final answer ended as no answer at the deadline, and its connection closed.

An answer is now valid only with a status from 200 to 599. Any other one that hyper reads ends as DispatchError::InvalidStatus: its connection closes, the slot stays taken until the upstream confirms that the request does not run, and the outcome is unknown, so that only an idempotent request is tried elsewhere. The caller gets a 502. Metric upstream, invalid-status.

Before the fix, the tests for 600 and above and for 101 fail; the others pass before and after it and guard what hyper does now. cargo test -p upstream invalid_status: 6 passed.

--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -241,6 +241,12 @@
                     .send_event(membership::Event::UpstreamLost);
                 started.refuse_not_run(Reason::UpstreamSilent, None)
             }
+            DispatchError::InvalidStatus(_) => {
+                let metrics = &self.home.shared.metrics;
+                metrics.count_event("upstream", "invalid-status");
+                permit.end_when_confirmed(Completion::Failed);
+                started.refuse(Reason::UpstreamSilent)
+            }
             DispatchError::NoAnswer | DispatchError::TimedOut => {
                 permit.end_when_confirmed(Completion::Failed);
                 started.refuse(Reason::UpstreamSilent)
--- a/crates/upstream/src/dispatch_error.rs
+++ b/crates/upstream/src/dispatch_error.rs
@@ -13,6 +13,9 @@
     /// A part of the request is invalid in HTTP, such as a value with control characters.
     #[error("the {0} of the request cannot be sent: remove control characters from it")]
     Invalid(&'static str),
+    /// The answer has a status that no final answer may have, such as 101 or 600.
+    #[error("the upstream answered with the invalid status {0}: the request may have run")]
+    InvalidStatus(u16),
     /// The request id of the answer is missing or belongs to another request.
     #[error("the upstream answered request `{0}`: the answer was dropped")]
     MismatchedAnswer(String),
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -199,6 +199,7 @@
         res: Response<Incoming>,
     ) -> Result<Answer, DispatchError> {
         self.check_request_id(res.headers())?;
+        check_status(res.status())?;
         let head = self.begin_answer(&res);
         if let Some(not_run) = self.parse_not_run(&res) {
             in_flight.disarm();
@@ -306,3 +307,11 @@
         permits.map_err(|_| no_memory())
     }
 }
+
+/// Rejects a status that no final answer may have. hyper accepts 101 and all statuses from 600 to 999.
+fn check_status(status: StatusCode) -> Result<(), DispatchError> {
+    match status.as_u16() {
+        200..=599 => Ok(()),
+        status => Err(DispatchError::InvalidStatus(status)),
+    }
+}
--- a/crates/upstream/tests/upstream/main.rs
+++ b/crates/upstream/tests/upstream/main.rs
@@ -6,5 +6,6 @@
 mod ended;
 mod endless;
 mod fake_upstream;
+mod invalid_status;
 mod replayed;
 mod statements;
