Refuse new work early while the service that it calls refuses calls

Work that will make a call is begun although the called service refuses its calls, and fails after it has taken a slot.

policy::CallForecast learns from the requests that run at the local home and from recognised calls how many calls a request of each route makes (decayed with 30 s; at least 5 requests, 0.5 calls on average), and counts the outcomes of the calls that this entry sent. New work of such a route is refused as not run (overloaded, with a delay for the next attempt) while more than a fifth, and at least two, of the calls of the last second were refused; one in ten passes. A call is attributed to a route only if all running requests that match it have the same route, so that an ambiguous match cannot block a route that makes no calls. The home finds the name of a route by host and path, so that nothing is added to the wire. With queues other than that by rank, nothing is learned or refused.

--- a/crates/policy/tests/calls.rs
+++ b/crates/policy/tests/calls.rs
@@ -60,6 +60,7 @@
         deadline,
         is_repeatable,
         rank,
+        route: Some(format!("route-{rank}")),
     }
 }
 
@@ -232,8 +233,12 @@
         parent(3, true, 1_549 * MS),
         parent(3, false, 1_460 * MS),
     ];
-    let find = |deadline| RunningParent::find(running.clone(), deadline);
-    assert_eq!(find(1_500 * MS), Some(running[3].clone()));
+    let find = |deadline| RunningParent::find(&running, deadline);
+    let without_route = RunningParent {
+        route: None,
+        ..running[3].clone()
+    };
+    assert_eq!(find(1_500 * MS), Some(without_route));
     assert_eq!(find(1_599 * MS), Some(running[2].clone()));
     assert_eq!(find(2_050 * MS), Some(running[0].clone()));
     assert_eq!(find(2_051 * MS), None);
--- a/crates/router/src/entry/caller_request.rs
+++ b/crates/router/src/entry/caller_request.rs
@@ -26,6 +26,7 @@
 use wire::Header;
 
 use crate::entry::traffic_splits::TrafficSplits;
+use crate::host_name::host_name;
 use crate::settings::Limits;
 use crate::shared::Shared;
 
@@ -260,8 +261,7 @@
         Some(authority) => authority.host().to_owned(),
         None => head.headers.get(HOST)?.to_str().ok()?.to_owned(),
     };
-    let host = name_and_port.split(':').next().unwrap_or(&name_and_port);
-    Some(host.to_ascii_lowercase())
+    Some(host_name(&name_and_port))
 }
 
 fn header(headers: &HeaderMap, name: &HeaderName) -> Result<Option<String>, Reason> {
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -13,6 +13,7 @@
 use httpd::RefusalReason;
 use httpd::RemoteAddress;
 use ids::RequestId;
+use ids::ServiceId;
 use policy::AdmittedRequest;
 use policy::AuthenticatedRequest;
 use policy::Fingerprint;
@@ -44,6 +45,7 @@
 use crate::entry::responses::refusal_response;
 use crate::entry::responses::rejection_response;
 use crate::entry::responses::rejection_status;
+use crate::entry::retry_after::retry_after;
 use crate::home::Home;
 use crate::limits::WorkspaceLimiters;
 use crate::quarantine::suspicion_level;
@@ -137,7 +139,7 @@
         };
         let parent = match &credentials {
             Some(_) => None,
-            None => self.find_parent(sender, now + request.caller_timeout),
+            None => self.find_parent(now, sender, &request),
         };
         let workspace = credentials
             .as_ref()
@@ -145,6 +147,10 @@
         tracker.record_workspace(workspace.as_ref(), &view.fleet);
         let authenticated = received.authenticate(workspace);
         let authenticated = self.authorize(&view, authenticated, &request)?;
+        let authenticated = match parent {
+            Some(_) => authenticated,
+            None => self.check_forecast(now, authenticated, &request)?,
+        };
         let fingerprint = request.fingerprint(authenticated.workspace().map(String::as_str));
         let first_arrived = self.record_arrival(now, &request, &fingerprint, tracker);
         let admitted = self.admit(authenticated, credentials.as_ref()).await?;
@@ -160,25 +166,62 @@
             )
         };
         let admitted = self.check_quarantine(admitted, &dispatch)?;
-        if dispatch.key.is_some() {
+        let service = dispatch.service.clone();
+        let result = if dispatch.key.is_some() {
             self.keyed_router.run(admitted, dispatch).await
         } else {
             self.keyless_router.run(admitted, dispatch).await
+        };
+        if parent.is_some() {
+            self.record_call_outcome(&service, result.as_ref().err());
         }
+        result
+    }
+
+    /// Refuses new work whose calls would probably be refused.
+    fn check_forecast(
+        &self,
+        now: Duration,
+        authenticated: AuthenticatedRequest,
+        request: &CallerRequest,
+    ) -> Result<AuthenticatedRequest, Refusal> {
+        if self.home.lock_forecast().admits(now, &request.route) {
+            return Ok(authenticated);
+        }
+        self.shared.metrics.count_event("caller", "refused-early");
+        let delay = retry_after(now, now + request.timeout);
+        Err(authenticated.refuse(Reason::Overloaded, Some(delay)))
+    }
+
+    /// Records how a call of a running request ended. A refusal that the call itself caused says nothing about its service.
+    fn record_call_outcome(&self, service: &ServiceId, refusal: Option<&Refusal>) {
+        let is_refused = refusal.is_some_and(|refusal| {
+            let reason = refusal.reason();
+            reason == Reason::DeadlinePassed || !reason.is_caused_by_request()
+        });
+        let now = self.shared.clock.now();
+        let mut forecast = self.home.lock_forecast();
+        forecast.record_outcome(now, service, is_refused);
     }
 
     /// Returns the request that made a call without a tenant key, if the call comes from the local upstream while it runs a
     /// request with the same deadline. Only the ranked queue distinguishes calls.
     fn find_parent(
         &self,
+        now: Duration,
         sender: Option<RemoteAddress>,
-        deadline: Duration,
+        call: &CallerRequest,
     ) -> Option<RunningParent> {
         if self.shared.policy.queue != QueueKind::Ranked {
             return None;
         }
+        let deadline = now + call.caller_timeout;
         let parent = self.home.find_parent(sender?.ip(), deadline)?;
         self.shared.metrics.count_event("caller", "upstream-call");
+        if let Some(route) = &parent.route {
+            let mut forecast = self.home.lock_forecast();
+            forecast.record_call(now, route, &call.service);
+        }
         Some(parent)
     }
 
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -30,7 +30,9 @@
 use crate::home::messages::grant_of;
 use crate::home::messages::upstream_request;
 use crate::home::permit::Permit;
+use crate::home::route_name::route_name;
 use crate::home::waiting_request::WaitingRequest;
+use crate::settings::QueueKind;
 
 /// Executes one request at the home. The outcome is recorded even if the execution is dropped.
 pub(crate) struct Execution {
@@ -105,6 +107,7 @@
                 is_hedge: self.dispatch.hedge,
                 is_idempotent: self.dispatch.idempotent,
                 key: self.dispatch.key.clone(),
+                route: self.route(),
                 service: self.dispatch.service.clone(),
                 target_left: Duration::from_millis(target_left_ms),
                 target_latency: Duration::from_millis(self.dispatch.target_latency_ms),
@@ -125,6 +128,15 @@
         }
     }
 
+    /// Returns the name of the request's route if the queue distinguishes the calls that the request may make.
+    fn route(&self) -> Option<String> {
+        let shared = &self.home.shared;
+        let is_needed = shared.policy.queue == QueueKind::Ranked;
+        is_needed
+            .then(|| route_name(&self.dispatch, shared.view().fleet.plans()))
+            .flatten()
+    }
+
     /// Returns the time until which the request may wait in the queue.
     fn queue_deadline(&self) -> Duration {
         match self.dispatch.queue_ms {
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -17,6 +17,7 @@
 use membership::Event;
 use policy::ArrivedRequest;
 use policy::BeginDecision;
+use policy::CallForecast;
 use policy::Completion;
 use policy::PushResult;
 use policy::QueuedRequest;
@@ -63,6 +64,8 @@
 pub(crate) struct Home {
     /// Total size of the bodies of the requests that wait or run, in bytes.
     body_bytes: Arc<AtomicUsize>,
+    /// Calls of the requests that ran here, and their outcomes. Locked after the state where both are.
+    call_forecast: Mutex<CallForecast>,
     pub(crate) handovers: Arc<IncomingHandovers>,
     pub(crate) control: ControlSender,
     /// Notified when a request waits.
@@ -80,6 +83,7 @@
         let state = HomeState::new(shared.clock.now(), &shared.limits, &shared.policy);
         Self {
             body_bytes: Arc::default(),
+            call_forecast: Mutex::default(),
             handovers,
             control,
             queued: Notify::new(),
@@ -239,7 +243,7 @@
         }
         let state = self.lock();
         let running = state.running.values();
-        RunningParent::find(running.map(|running| running.parent.clone()), call_deadline)
+        RunningParent::find(running.map(|running| &running.parent), call_deadline)
     }
 
     /// Adds a request to the queue. Its channel receives the permit or the refusal.
@@ -382,6 +386,11 @@
         (state.queue.len(), state.limiter.in_flight())
     }
 
+    pub(crate) fn lock_forecast(&self) -> MutexGuard<'_, CallForecast> {
+        let forecast = self.call_forecast.lock();
+        forecast.unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn lock(&self) -> MutexGuard<'_, HomeState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/router/src/home/mod.rs
+++ b/crates/router/src/home/mod.rs
@@ -15,6 +15,7 @@
 mod permit;
 mod queue_maintenance;
 mod request_starter;
+mod route_name;
 mod unit_tracker;
 mod upstream_capacity;
 mod waiting_request;
--- a/crates/router/src/home/request_starter.rs
+++ b/crates/router/src/home/request_starter.rs
@@ -149,6 +149,9 @@
         if let Some(unit) = &unit {
             self.state.units.record_start(unit.unit());
         }
+        if let Some(route) = &queued.item.route {
+            self.home.lock_forecast().record_parent(self.now, route);
+        }
         let bound = self.view.request_deadline.filter(|_| unit.is_some());
         let deadline = queued.item.deadline;
         let running = RunningRequest {
@@ -158,6 +161,7 @@
                 deadline: bound.map_or(deadline, |bound| bound.min(deadline)),
                 is_repeatable: queued.item.is_idempotent,
                 rank: queued.rank,
+                route: queued.item.route,
             },
             arrived_at: queued.item.arrived_at,
             target_latency: queued.item.target_latency,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 mod environment;
 mod handover;
 mod home;
+mod host_name;
 mod json_response;
 mod lease;
 mod limits;
