Look up the routes of requests at the home only after a first call

The home looked up the route of each request that it queues, although most upstreams make no calls; the look-up is linear in the routes of a host. It now begins once a call of the local upstream has been recognised.

--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -32,7 +32,6 @@
 use crate::home::permit::Permit;
 use crate::home::route_name::route_name;
 use crate::home::waiting_request::WaitingRequest;
-use crate::settings::QueueKind;
 
 /// Executes one request at the home. The outcome is recorded even if the execution is dropped.
 pub(crate) struct Execution {
@@ -128,13 +127,13 @@
         }
     }
 
-    /// Returns the name of the request's route if the queue distinguishes the calls that the request may make.
+    /// Returns the name of the request's route if the upstream makes calls, whose parent the request may be.
     fn route(&self) -> Option<String> {
-        let shared = &self.home.shared;
-        let is_needed = shared.policy.queue == QueueKind::Ranked;
-        is_needed
-            .then(|| route_name(&self.dispatch, shared.view().fleet.plans()))
-            .flatten()
+        if !self.home.has_made_calls() {
+            return None;
+        }
+        let view = self.home.shared.view();
+        route_name(&self.dispatch, view.fleet.plans())
     }
 
     /// Returns the time until which the request may wait in the queue.
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -6,7 +6,9 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cluster::Body;
@@ -67,6 +69,8 @@
     /// Calls of the requests that ran here, and their outcomes. Locked after the state where both are.
     call_forecast: Mutex<CallForecast>,
     pub(crate) handovers: Arc<IncomingHandovers>,
+    /// Whether a request that ran here has made a call.
+    has_made_calls: AtomicBool,
     pub(crate) control: ControlSender,
     /// Notified when a request waits.
     pub(crate) queued: Notify,
@@ -85,6 +89,7 @@
             body_bytes: Arc::default(),
             call_forecast: Mutex::default(),
             handovers,
+            has_made_calls: AtomicBool::new(false),
             control,
             queued: Notify::new(),
             shared,
@@ -243,7 +248,14 @@
         }
         let state = self.lock();
         let running = state.running.values();
-        RunningParent::find(running.map(|running| &running.parent), call_deadline)
+        let parent = RunningParent::find(running.map(|running| &running.parent), call_deadline)?;
+        self.has_made_calls.store(true, Ordering::Relaxed);
+        Some(parent)
+    }
+
+    /// Reports whether a request that ran here has made a call. The routes of requests are not looked up before that.
+    pub(crate) fn has_made_calls(&self) -> bool {
+        self.has_made_calls.load(Ordering::Relaxed)
     }
 
     /// Adds a request to the queue. Its channel receives the permit or the refusal.
--- a/crates/router/src/home/waiting_request.rs
+++ b/crates/router/src/home/waiting_request.rs
@@ -30,7 +30,7 @@
     /// Whether running the request several times has the same effect as once.
     pub(crate) is_idempotent: bool,
     pub(crate) key: Option<String>,
-    /// Name of the route, `None` if it is not known or the queue does not distinguish calls.
+    /// Name of the route, `None` if it is not known or the upstream has made no calls.
     pub(crate) route: Option<String>,
     pub(crate) service: ServiceId,
     /// Remaining part of the target latency.
