--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -24,11 +24,13 @@
 use crate::home::Home;
 use crate::home::crash_report::CrashReport;
 use crate::home::local_upstream::LocalUpstream;
+use crate::home::messages::class_of;
 use crate::home::messages::encode_answer;
 use crate::home::messages::encode_statement;
 use crate::home::messages::grant_of;
 use crate::home::messages::upstream_request;
 use crate::home::permit::Permit;
+use crate::home::route_name::route_name;
 use crate::home::waiting_request::WaitingRequest;
 
 /// Executes one request at the home. The outcome is recorded even if the execution is dropped.
@@ -91,6 +93,7 @@
         let target_left_ms = self.dispatch.target_latency_ms;
         let target_left_ms = target_left_ms.saturating_sub(returned_after_ms);
         self.home.enqueue(QueuedRequest {
+            class: class_of(&self.dispatch),
             deadline: self.queue_deadline(),
             id: self.dispatch.request_id.clone(),
             item: WaitingRequest {
@@ -101,7 +104,9 @@
                 fingerprint: self.dispatch.fingerprint.clone(),
                 grant: grant_of(&self.dispatch),
                 is_hedge: self.dispatch.hedge,
+                is_idempotent: self.dispatch.idempotent,
                 key: self.dispatch.key.clone(),
+                route: self.route(),
                 service: self.dispatch.service.clone(),
                 target_left: Duration::from_millis(target_left_ms),
                 target_latency: Duration::from_millis(self.dispatch.target_latency_ms),
@@ -122,6 +127,15 @@
         }
     }
 
+    /// Returns the name of the request's route if the upstream makes calls, whose parent the request may be.
+    fn route(&self) -> Option<String> {
+        if !self.home.has_made_calls() {
+            return None;
+        }
+        let view = self.home.shared.view();
+        route_name(&self.dispatch, view.fleet.plans())
+    }
+
     /// Returns the time until which the request may wait in the queue.
     fn queue_deadline(&self) -> Duration {
         match self.dispatch.queue_ms {
@@ -238,6 +252,12 @@
                     .send_event(membership::Event::UpstreamLost);
                 started.refuse_not_run(Reason::UpstreamSilent, None)
             }
+            DispatchError::InvalidStatus(_) => {
+                let metrics = &self.home.shared.metrics;
+                metrics.count_event("upstream", "invalid-status");
+                permit.end_when_confirmed(Completion::Failed);
+                started.refuse(Reason::UpstreamSilent)
+            }
             DispatchError::NoAnswer | DispatchError::TimedOut => {
                 permit.end_when_confirmed(Completion::Failed);
                 started.refuse(Reason::UpstreamSilent)
@@ -292,8 +312,9 @@
             .metrics
             .count_event("home", &refused.reason);
         let state = self.home.lock();
+        let class = class_of(&self.dispatch);
         let details = DecisionDetails {
-            ahead: Some(state.queue.count_ahead(self.dispatch.priority)),
+            ahead: Some(state.queue.count_ahead(self.dispatch.priority, class)),
             not_run: Some(refused.not_run),
             rank: Some(self.dispatch.priority),
             target_latency_ms: Some(self.dispatch.target_latency_ms),
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -1,11 +1,14 @@
 //! Service that runs the requests for the units that this process owns.
 
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cluster::Body;
@@ -16,10 +19,12 @@
 use membership::Event;
 use policy::ArrivedRequest;
 use policy::BeginDecision;
+use policy::CallForecast;
 use policy::Completion;
 use policy::PushResult;
 use policy::QueuedRequest;
 use policy::Reason;
+use policy::RunningParent;
 use policy::Statement;
 use policy::StatusReply;
 use policy::Ticket;
@@ -61,7 +66,11 @@
 pub(crate) struct Home {
     /// Total size of the bodies of the requests that wait or run, in bytes.
     body_bytes: Arc<AtomicUsize>,
+    /// Calls of the requests that ran here, and their outcomes. Locked after the state where both are.
+    call_forecast: Mutex<CallForecast>,
     pub(crate) handovers: Arc<IncomingHandovers>,
+    /// Whether a request that ran here has made a call.
+    has_made_calls: AtomicBool,
     pub(crate) control: ControlSender,
     /// Notified when a request waits.
     pub(crate) queued: Notify,
@@ -78,7 +87,9 @@
         let state = HomeState::new(shared.clock.now(), &shared.limits, &shared.policy);
         Self {
             body_bytes: Arc::default(),
+            call_forecast: Mutex::default(),
             handovers,
+            has_made_calls: AtomicBool::new(false),
             control,
             queued: Notify::new(),
             shared,
@@ -223,6 +234,30 @@
         }
     }
 
+    /// Returns the running request that has made a call, given the address of its sender and its deadline. Returns `None` if
+    /// the sender is not the accepted upstream, or no running request matches.
+    pub(crate) fn find_parent(
+        &self,
+        sender: IpAddr,
+        call_deadline: Duration,
+    ) -> Option<RunningParent> {
+        let view = self.shared.view();
+        let upstream = view.upstream.as_ref()?;
+        if upstream.address.ip().to_canonical() != sender {
+            return None;
+        }
+        let state = self.lock();
+        let running = state.running.values();
+        let parent = RunningParent::find(running.map(|running| &running.parent), call_deadline)?;
+        self.has_made_calls.store(true, Ordering::Relaxed);
+        Some(parent)
+    }
+
+    /// Reports whether a request that ran here has made a call. The routes of requests are not looked up before that.
+    pub(crate) fn has_made_calls(&self) -> bool {
+        self.has_made_calls.load(Ordering::Relaxed)
+    }
+
     /// Adds a request to the queue. Its channel receives the permit or the refusal.
     pub(crate) fn enqueue(self: &Arc<Self>, mut queued: QueuedRequest<WaitingRequest>) {
         let now = self.shared.clock.now();
@@ -363,6 +398,11 @@
         (state.queue.len(), state.limiter.in_flight())
     }
 
+    pub(crate) fn lock_forecast(&self) -> MutexGuard<'_, CallForecast> {
+        let forecast = self.call_forecast.lock();
+        forecast.unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn lock(&self) -> MutexGuard<'_, HomeState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
