Recognise calls by their ids where callers share the machine of the upstream

An id that extends that of a running request by a dot and a suffix identifies its call.

The new test fails without the change.

--- a/crates/policy/tests/calls.rs
+++ b/crates/policy/tests/calls.rs
@@ -58,6 +58,7 @@
 fn parent(rank: u32, is_repeatable: bool, deadline: Duration) -> RunningParent {
     RunningParent {
         deadline,
+        id: format!("parent-{rank}"),
         is_repeatable,
         rank,
         route: Some(format!("route-{rank}")),
@@ -233,7 +234,7 @@
         parent(3, true, 1_549 * MS),
         parent(3, false, 1_460 * MS),
     ];
-    let find = |deadline| RunningParent::find(&running, deadline);
+    let find = |deadline| RunningParent::find_by_deadline(&running, deadline);
     let without_route = RunningParent {
         route: None,
         ..running[3].clone()
@@ -244,6 +245,18 @@
     assert_eq!(find(2_051 * MS), None);
 }
 
+/// Guards against calls that are taken for new work since their time limit is shorter than that of their parent, and against
+/// callers on the same machine whose requests are taken for calls.
+#[test]
+fn an_id_that_extends_that_of_a_running_request_identifies_its_call() {
+    let running = [parent(0, false, 2_000 * MS), parent(4, true, 500 * MS)];
+    let find = |id| RunningParent::find_by_id(&running, id);
+    assert_eq!(find("parent-4.1f"), Some(running[1].clone()));
+    assert_eq!(find("parent-4"), None);
+    assert_eq!(find("parent-5.1f"), None);
+    assert_eq!(find("parent-4.1f.2a"), None);
+}
+
 /// A request whose upstream calls its own service and keeps its slot until the call ends.
 #[derive(Debug)]
 struct CyclicParent {
--- a/crates/router/src/entry/caller_service.rs
+++ b/crates/router/src/entry/caller_service.rs
@@ -139,7 +139,7 @@
         };
         let parent = match &credentials {
             Some(_) => None,
-            None => self.find_parent(now, sender, &request),
+            None => self.find_parent(now, sender, request_id, &request),
         };
         let workspace = credentials
             .as_ref()
@@ -204,19 +204,20 @@
         forecast.record_outcome(now, service, is_refused);
     }
 
-    /// Returns the request that made a call without a tenant key, if the call comes from the local upstream while it runs a
-    /// request with the same deadline. Only the ranked queue distinguishes calls.
+    /// Returns the request that made a call without a tenant key, if the call comes from the machine of the local upstream
+    /// and belongs to a request that runs there. Only the ranked queue distinguishes calls.
     fn find_parent(
         &self,
         now: Duration,
         sender: Option<RemoteAddress>,
+        request_id: &str,
         call: &CallerRequest,
     ) -> Option<RunningParent> {
         if self.shared.policy.queue != QueueKind::Ranked {
             return None;
         }
         let deadline = now + call.caller_timeout;
-        let parent = self.home.find_parent(sender?.ip(), deadline)?;
+        let parent = self.home.find_parent(sender?.ip(), request_id, deadline)?;
         self.shared.metrics.count_event("caller", "upstream-call");
         if let Some(route) = &parent.route {
             let mut forecast = self.home.lock_forecast();
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -234,11 +234,15 @@
         }
     }
 
-    /// Returns the running request that has made a call, given the address of its sender and its deadline. Returns `None` if
-    /// the sender is not the accepted upstream, or no running request matches.
+    /// Returns the running request that has made a call, given the address of its sender, its id and its deadline. Returns
+    /// `None` if the sender is not on the machine of the accepted upstream, or no running request matches.
+    ///
+    /// Callers may run on the same machine. Where they need tenant keys, a request without one is a call if its deadline
+    /// matches; elsewhere only its id tells.
     pub(crate) fn find_parent(
         &self,
         sender: IpAddr,
+        call_id: &str,
         call_deadline: Duration,
     ) -> Option<RunningParent> {
         let view = self.shared.view();
@@ -247,8 +251,12 @@
             return None;
         }
         let state = self.lock();
-        let running = state.running.values();
-        let parent = RunningParent::find(running.map(|running| &running.parent), call_deadline)?;
+        let running = || state.running.values().map(|running| &running.parent);
+        let needs_keys = !view.fleet.plans().plans.is_empty();
+        let parent = RunningParent::find_by_id(running(), call_id).or_else(|| {
+            let by_deadline = || RunningParent::find_by_deadline(running(), call_deadline);
+            needs_keys.then(by_deadline).flatten()
+        })?;
         self.has_made_calls.store(true, Ordering::Relaxed);
         Some(parent)
     }
--- a/crates/router/src/home/request_starter.rs
+++ b/crates/router/src/home/request_starter.rs
@@ -159,6 +159,7 @@
             key: queued.item.key,
             parent: RunningParent {
                 deadline: bound.map_or(deadline, |bound| bound.min(deadline)),
+                id: queued.id,
                 is_repeatable: queued.item.is_idempotent,
                 rank: queued.rank,
                 route: queued.item.route,
