Carry evidence and permits of roll-outs in datagrams, and read the section `rollout` of the settings

Homes report cumulative counts by route to the deciders of a roll-out (tag 4), and deciders answer with permits (tag 5). A report with more routes than a datagram holds is split; a route that fits into none is left out. The settings take the share as a fraction too, since the template of the deployment has no arithmetic. Check-ins pass on the version of the upstream.

--- a/crates/router/src/environment/upstream_message.rs
+++ b/crates/router/src/environment/upstream_message.rs
@@ -42,4 +42,6 @@
     pub service: ServiceId,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
+    /// Version of the service that it runs, empty if it states none.
+    pub version: String,
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -46,5 +46,6 @@
 pub use settings::QueueKind;
 pub use settings::RateKind;
 pub use settings::RateTolerance;
+pub use settings::RolloutSettings;
 pub use settings::Settings;
 pub use settings::SettingsError;
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -8,6 +8,7 @@
 mod policy_settings;
 mod range;
 mod rate_tolerance;
+mod rollout_settings;
 mod settings_error;
 mod settings_file;
 
@@ -22,5 +23,6 @@
 pub use policy_settings::QueueKind;
 pub use policy_settings::RateKind;
 pub use rate_tolerance::RateTolerance;
+pub use rollout_settings::RolloutSettings;
 pub use settings_error::SettingsError;
 pub use settings_file::Settings;
--- a/crates/router/src/settings/settings_file.rs
+++ b/crates/router/src/settings/settings_file.rs
@@ -23,6 +23,7 @@
 use crate::settings::MetricsSettings;
 use crate::settings::PolicySettings;
 use crate::settings::RateTolerance;
+use crate::settings::RolloutSettings;
 use crate::settings::SettingsError;
 use crate::settings::range::check_range;
 
@@ -69,6 +70,9 @@
     pub rate_tolerance: Option<RateTolerance>,
     /// Region of the VM.
     pub region: RegionId,
+    /// Bounds of version roll-outs. Absent if orders of roll-outs are not supported.
+    #[serde(default)]
+    pub rollout: Option<RolloutSettings>,
     /// File for the trace of the control thread's events. Absent for no trace.
     #[serde(default)]
     pub trace_file: Option<PathBuf>,
@@ -130,6 +134,9 @@
         if let Some(tolerance) = &self.rate_tolerance {
             tolerance.check()?;
         }
+        if let Some(rollout) = &self.rollout {
+            rollout.check()?;
+        }
         self.policy.check()
     }
 
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -40,6 +40,7 @@
 use crate::record_store::RecordStore;
 use crate::settings::Limits;
 use crate::settings::PolicySettings;
+use crate::settings::RolloutSettings;
 use crate::view::View;
 
 /// State that all threads of the process share.
@@ -61,6 +62,8 @@
     pub(crate) policy: PolicySettings,
     pub(crate) rate_tolerance: Option<RateTolerance>,
     pub(crate) records: RecordStore,
+    /// Bounds of version roll-outs, `None` if orders of roll-outs are not supported.
+    pub(crate) rollout: Option<RolloutSettings>,
     pub(crate) vm: VmId,
     pub(crate) zone: ZoneId,
     /// The graceful stop, once it has begun.
@@ -108,6 +111,7 @@
             policy: settings.policy.clone(),
             rate_tolerance: settings.rate_tolerance.clone(),
             records: RecordStore::default(),
+            rollout: settings.rollout.clone(),
             stop: OnceLock::new(),
             view: ArcSwap::from_pointee(view),
             vm: settings.vm.clone(),
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -7,6 +7,8 @@
 use crate::Heartbeat;
 use crate::HeartbeatAnswer;
 use crate::MemberLoads;
+use crate::RolloutPermit;
+use crate::RolloutReport;
 use crate::Secret;
 use crate::mac::MAC_BYTES;
 use crate::mac::compute_mac;
@@ -21,6 +23,10 @@
 /// Maximum length of an accepted datagram in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
 
+/// Maximum length of a message in an accepted datagram, without the tag and the length that precede it in the envelope, in
+/// bytes.
+pub(crate) const MAX_PAYLOAD_BYTES: usize = MAX_DATAGRAM_BYTES - HEADER_BYTES - 3;
+
 /// A message that is sent as a datagram, outside any link.
 #[derive(Clone, Oneof, PartialEq)]
 pub enum Datagram {
@@ -33,11 +39,17 @@
     /// Reports the known loads of members.
     #[prost(message, tag = "3")]
     MemberLoads(MemberLoads),
+    /// Reports what a home has observed during a roll-out.
+    #[prost(message, tag = "4")]
+    RolloutReport(RolloutReport),
+    /// Confirms or ends the trial of a version.
+    #[prost(message, tag = "5")]
+    RolloutPermit(RolloutPermit),
 }
 
 #[derive(Clone, Message, PartialEq)]
 struct Envelope {
-    #[prost(oneof = "Datagram", tags = "1, 2, 3")]
+    #[prost(oneof = "Datagram", tags = "1, 2, 3, 4, 5")]
     datagram: Option<Datagram>,
 }
 
--- a/crates/wire/tests/wire/main.rs
+++ b/crates/wire/tests/wire/main.rs
@@ -7,4 +7,5 @@
 mod link;
 mod link_pair;
 mod raw_peer;
+mod rollouts;
 mod silence;
