Connect version roll-outs with homes, entries, deciders and operators

The fold knew roll-outs, but nothing judged or carried them out. Entries divide the requests of a service without keys by the allotment and the steps of the promotion, and spend credit on requests whose owner is on trial. Homes refuse requests as not run without a permit, after a rollback, and after the promotion. Orders are decoded from `rollout/SERVICE`, and what is wrong with them is reported.

--- a/crates/router/src/check_in_service.rs
+++ b/crates/router/src/check_in_service.rs
@@ -167,7 +167,7 @@
                 service: check_in.service,
                 slots: check_in.slots,
                 started_unix_ms: check_in.started_unix_ms,
-                version: String::new(),
+                version: check_in.version,
             },
             draining: check_in.draining,
             handovers,
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -39,6 +39,8 @@
 use crate::handover::IncomingHandovers;
 use crate::home::Home;
 use crate::peer_client::PeerClient;
+use crate::rollout::RolloutActions;
+use crate::rollout::RolloutControl;
 use crate::shared::Shared;
 use crate::view::View;
 
@@ -65,6 +67,7 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) stopped: CancellationToken,
     pub(crate) peer_client: PeerClient,
+    pub(crate) rollouts: RolloutControl,
     pub(crate) upstream: UpstreamControl,
     pub(crate) writer: LogWriter,
 }
@@ -125,6 +128,11 @@
                 self.handle_event(Event::CheckedIn(*check_in));
             }
             ControlMessage::Event(event) => self.handle_event(event),
+            ControlMessage::StatusWritten { is_written, job } => {
+                let now = self.parts.shared.clock.now();
+                let actions = self.parts.rollouts.record_status(now, &job, is_written);
+                self.perform_rollout(actions);
+            }
         }
     }
 
@@ -144,6 +152,9 @@
             self.handle_datagram(datagram);
         }
         self.handle_event(Event::Tick);
+        let now = self.parts.shared.clock.now();
+        let actions = self.parts.rollouts.tick(now, &self.parts.agent);
+        self.perform_rollout(actions);
         self.retry_appends();
         self.ticks += 1;
         if self.ticks.is_multiple_of(LOAD_REPORT_TICKS) {
@@ -152,6 +163,18 @@
         }
     }
 
+    fn perform_rollout(&mut self, actions: RolloutActions) {
+        for (body, read_back) in actions.appends {
+            self.append_record(body, read_back);
+        }
+        for (datagram, to) in &actions.datagrams {
+            self.parts.datagrams.send(datagram, *to);
+        }
+        if let Some(share) = actions.trial_share {
+            self.handle_event(Event::TrialShare { share });
+        }
+    }
+
     fn handle_datagram(&mut self, datagram: IncomingDatagram) {
         match datagram {
             IncomingDatagram::Event(event) => self.handle_event(event),
@@ -159,6 +182,16 @@
                 let now = self.parts.shared.clock.now();
                 self.loads.merge(now, &loads);
             }
+            IncomingDatagram::Permit(permit) => {
+                let now = self.parts.shared.clock.now();
+                let fleet = self.parts.agent.fleet();
+                self.parts.rollouts.record_permit(now, fleet, &permit);
+            }
+            IncomingDatagram::Report(report) => {
+                let now = self.parts.shared.clock.now();
+                let fleet = self.parts.agent.fleet();
+                self.parts.rollouts.record_report(now, fleet, &report);
+            }
         }
     }
 
@@ -358,6 +391,7 @@
     fn publish_view(&mut self) {
         let now = self.parts.shared.clock.now();
         let agent = &self.parts.agent;
+        self.parts.rollouts.refresh(now, agent);
         let current = self.parts.shared.view();
         let clock = self.parts.shared.clock;
         let declared = agent.declared_manifest();
@@ -388,6 +422,8 @@
             lacks_declarations: agent.lacks_declarations(),
             pending_zones,
             request_deadline: agent.request_deadline(),
+            rollout_starts_until: self.parts.rollouts.starts_until(),
+            rollouts: self.parts.rollouts.view(),
             serving,
             starts_until: agent.starts_until(),
             status,
--- a/crates/router/src/control/control_message.rs
+++ b/crates/router/src/control/control_message.rs
@@ -7,6 +7,8 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
+use crate::rollout::StatusJob;
+
 /// A message from another thread to the control thread.
 #[derive(Debug)]
 pub(crate) enum ControlMessage {
@@ -26,6 +28,13 @@
     },
     /// An event for the agent.
     Event(Event),
+    /// A status of a roll-out was written, or not.
+    StatusWritten {
+        /// Whether it was written.
+        is_written: bool,
+        /// The status.
+        job: Box<StatusJob>,
+    },
 }
 
 /// Sends messages to the control thread. Messages sent after the thread has ended are dropped.
@@ -44,6 +53,12 @@
         self.send(ControlMessage::Event(event));
     }
 
+    /// Reports whether a status of a roll-out was written.
+    pub(crate) fn report_status(&self, job: StatusJob, is_written: bool) {
+        let job = Box::new(job);
+        self.send(ControlMessage::StatusWritten { is_written, job });
+    }
+
     /// Requests that a record is appended, and returns once it has been read back from the log.
     pub(crate) async fn append(&self, body: Body) {
         let (read_back, done) = oneshot::channel();
--- a/crates/router/src/control/datagram_socket.rs
+++ b/crates/router/src/control/datagram_socket.rs
@@ -1,4 +1,4 @@
-//! Authenticated datagrams between processes: heartbeats, their answers, and loads.
+//! Authenticated datagrams between processes: heartbeats, their answers, loads, and the exchange of roll-outs.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -12,6 +12,8 @@
 use wire::Datagram;
 use wire::MemberLoads;
 use wire::ReplayGuard;
+use wire::RolloutPermit;
+use wire::RolloutReport;
 use wire::Secret;
 use wire::decode_datagram;
 use wire::encode_datagram;
@@ -27,6 +29,8 @@
     buf: Vec<u8>,
     heartbeat_guard: ReplayGuard,
     loads_guard: ReplayGuard,
+    permit_guard: ReplayGuard,
+    report_guard: ReplayGuard,
     secret: Secret,
     shared: Arc<Shared>,
     socket: UdpSocket,
@@ -38,6 +42,8 @@
             buf: vec![0; MAX_DATAGRAM_BYTES],
             heartbeat_guard: ReplayGuard::default(),
             loads_guard: ReplayGuard::default(),
+            permit_guard: ReplayGuard::default(),
+            report_guard: ReplayGuard::default(),
             secret,
             shared,
             socket,
@@ -75,6 +81,8 @@
                 Some(IncomingDatagram::Event(heartbeat_answered(answer)))
             }
             Ok(Datagram::MemberLoads(loads)) => self.accept_loads(loads),
+            Ok(Datagram::RolloutPermit(permit)) => self.accept_permit(permit),
+            Ok(Datagram::RolloutReport(report)) => self.accept_report(report),
             Err(error) => {
                 log::debug!("datagram from {from} dropped: {error}");
                 self.drop_datagram("invalid")
@@ -115,6 +123,26 @@
         Some(IncomingDatagram::Loads(loads))
     }
 
+    fn accept_permit(&mut self, permit: RolloutPermit) -> Option<IncomingDatagram> {
+        let is_new = self
+            .permit_guard
+            .accept(&permit.vm, permit.incarnation, permit.sequence);
+        if !is_new {
+            return self.drop_datagram("replayed");
+        }
+        Some(IncomingDatagram::Permit(permit))
+    }
+
+    fn accept_report(&mut self, report: RolloutReport) -> Option<IncomingDatagram> {
+        let is_new = self
+            .report_guard
+            .accept(&report.vm, report.incarnation, report.sequence);
+        if !is_new {
+            return self.drop_datagram("replayed");
+        }
+        Some(IncomingDatagram::Report(report))
+    }
+
     fn drop_datagram(&self, reason: &str) -> Option<IncomingDatagram> {
         self.shared.metrics.count_event("datagram-dropped", reason);
         None
@@ -154,7 +182,8 @@
         self.send(&Datagram::MemberLoads(loads), to);
     }
 
-    fn send(&self, datagram: &Datagram, to: SocketAddr) {
+    /// Sends a datagram.
+    pub(crate) fn send(&self, datagram: &Datagram, to: SocketAddr) {
         let bytes = encode_datagram(&self.secret, datagram);
         self.shared.control_traffic.count_datagram(bytes.len());
         if let Err(error) = self.socket.try_send_to(&bytes, to) {
--- a/crates/router/src/control/incoming_datagram.rs
+++ b/crates/router/src/control/incoming_datagram.rs
@@ -2,6 +2,8 @@
 
 use membership::Event;
 use wire::MemberLoads;
+use wire::RolloutPermit;
+use wire::RolloutReport;
 
 /// The content of a received datagram that passed authentication.
 #[derive(Debug)]
@@ -10,4 +12,8 @@
     Event(Event),
     /// Loads of members that the sender knows.
     Loads(MemberLoads),
+    /// Permit of a decider of a roll-out.
+    Permit(RolloutPermit),
+    /// Evidence of a home on a version.
+    Report(RolloutReport),
 }
--- a/crates/router/src/entry/keyed_router.rs
+++ b/crates/router/src/entry/keyed_router.rs
@@ -18,6 +18,7 @@
 use crate::entry::home_client::Reply;
 use crate::entry::retry_after::retry_after;
 use crate::entry::target::Target;
+use crate::entry::trial_credits::TrialCredits;
 
 /// Delay before the first retry. It doubles with each further retry.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(5);
@@ -28,6 +29,7 @@
 /// Sends requests to the owners of their keys.
 pub(crate) struct KeyedRouter {
     pub(crate) home_client: Arc<HomeClient>,
+    pub(crate) trial_credits: TrialCredits,
 }
 
 impl KeyedRouter {
@@ -50,8 +52,14 @@
                 // A home that refuses a request because it stops or is out of service would refuse it again, or end while it is
                 // being sent.
                 (Some(target), Some((grant, reason))) if target.grant == *grant => *reason,
+                // Credit for the trial grows with the answers to other requests.
+                (Some(target), _) if !self.may_try(&target, &dispatch) => Reason::Overloaded,
                 (Some(target), _) => match self.attempt(admitted, &target, &mut dispatch).await {
-                    AttemptResult::Answered(answer) => return Ok(answer),
+                    AttemptResult::Answered(answer) => {
+                        let view = self.home_client.shared.view();
+                        self.trial_credits.record_answer(&view, &dispatch.service);
+                        return Ok(answer);
+                    }
                     AttemptResult::NotRun(returned, statement) => {
                         admitted = returned;
                         if !is_transient(&statement) {
@@ -84,6 +92,19 @@
         Target::owner(&view.fleet, &dispatch.service, key)
     }
 
+    /// Reports whether a request may be sent to the owner of its key, which may be on trial.
+    fn may_try(&self, target: &Target, dispatch: &Dispatch) -> bool {
+        let shared = &self.home_client.shared;
+        let view = shared.view();
+        let may_try = self
+            .trial_credits
+            .try_take(&view, &dispatch.service, &target.vm);
+        if !may_try {
+            shared.metrics.count_event("rollout", "out-of-credit");
+        }
+        may_try
+    }
+
     async fn attempt(
         &self,
         admitted: AdmittedRequest,
--- a/crates/router/src/entry/keyless_request.rs
+++ b/crates/router/src/entry/keyless_request.rs
@@ -273,6 +273,8 @@
             Reply::Answer(_) => {
                 let latency = now.saturating_sub(self.started);
                 self.completion = Completion::Answered { latency };
+                self.router
+                    .with_service(&self.service, |service| service.record_answer());
             }
             Reply::Statement(statement) => {
                 self.busy_until = busy_time(statement).map(|busy| now + busy);
--- a/crates/router/src/entry/keyless_service.rs
+++ b/crates/router/src/entry/keyless_service.rs
@@ -19,6 +19,9 @@
 use policy::RoundRobin;
 use policy::Ticket;
 
+use crate::entry::version_split::VersionSplit;
+use crate::rollout::Rollouts;
+use crate::rollout::VersionUse;
 use crate::settings::ChooserKind;
 use crate::settings::PolicySettings;
 use crate::view::View;
@@ -36,7 +39,11 @@
     /// States of zones that the candidates were taken from besides the fleet.
     pending_zones: Arc<PendingZones>,
     pub(crate) retry_budget: RetryBudget,
+    /// Roll-outs that the candidates were taken from besides the fleet.
+    rollouts: Arc<Rollouts>,
     service: String,
+    /// Division of the requests between versions, `None` before the first roll-out of the service.
+    split: Option<VersionSplit>,
 }
 
 impl KeylessService {
@@ -56,7 +63,9 @@
             next_ticket: 0,
             pending_zones: Arc::default(),
             retry_budget: RetryBudget::new(policy.extra_percent()),
+            rollouts: Arc::default(),
             service: service.to_owned(),
+            split: None,
         }
     }
 
@@ -65,25 +74,33 @@
         let View {
             fleet,
             pending_zones,
+            rollouts,
             ..
         } = view;
         if self.fleet_offset == fleet.next_offset()
             && Arc::ptr_eq(&self.pending_zones, pending_zones)
+            && Arc::ptr_eq(&self.rollouts, rollouts)
         {
             return;
         }
         self.fleet_offset = fleet.next_offset();
         self.pending_zones = Arc::clone(pending_zones);
+        self.rollouts = Arc::clone(rollouts);
         let members = fleet.members().values();
         let members = members.filter(|member| {
-            member.join.service == self.service && pending_zones.is_candidate(fleet, member)
+            member.join.service == self.service
+                && !pending_zones.is_zone_out(fleet, &member.join.zone)
+                && !fleet.is_drained(&member.join.vm)
+                && rollouts.version_use(member) != VersionUse::Nothing
         });
+        let members: Vec<&cluster::Member> = members.collect();
+        self.update_split(&members);
         let candidate = |member: &cluster::Member| Candidate {
             slots: member.join.slots,
             vm: member.join.vm.clone(),
             zone: member.join.zone.clone(),
         };
-        let candidates: Vec<_> = members.map(candidate).collect();
+        let candidates: Vec<_> = members.into_iter().map(candidate).collect();
         if candidates != self.candidates {
             self.chooser.set_candidates(now, &candidates);
             for hedge in self.hedge_policies.values_mut() {
@@ -93,9 +110,36 @@
         }
     }
 
-    /// Chooses a home outside `excluded`.
+    /// Updates the division of the requests between versions to the members that may get some.
+    fn update_split(&mut self, members: &[&cluster::Member]) {
+        let Some(rollout) = self.rollouts.get(&self.service) else {
+            self.split = None;
+            return;
+        };
+        let vms = |of: VersionUse| -> BTreeSet<VmId> {
+            let members = members.iter();
+            let used = members.filter(|member| rollout.version_use(member) == of);
+            used.map(|member| member.join.vm.clone()).collect()
+        };
+        let split = self.split.get_or_insert_with(|| VersionSplit::new(rollout));
+        split.update(rollout, vms(VersionUse::Target), vms(VersionUse::Other));
+    }
+
+    /// Records an answer of the service.
+    pub(crate) fn record_answer(&mut self) {
+        if let Some(split) = &mut self.split {
+            split.record_answer();
+        }
+    }
+
+    /// Chooses a home outside `excluded`, of a version that the request may go to.
     pub(crate) fn choose(&mut self, now: Duration, excluded: &BTreeSet<VmId>) -> Option<Choice> {
-        self.chooser.choose(now, excluded)
+        let Some(split) = &mut self.split else {
+            return self.chooser.choose(now, excluded);
+        };
+        let hidden = split.hide(excluded);
+        let excluded = excluded.union(hidden).cloned().collect();
+        self.chooser.choose(now, &excluded)
     }
 
     /// Records that a request is sent to a home, and returns its ticket.
@@ -138,9 +182,11 @@
             })
     }
 
-    /// Returns the names of all candidates.
+    /// Returns the names of all candidates that are not on trial.
     pub(crate) fn candidate_vms(&self) -> impl Iterator<Item = &VmId> {
-        self.candidates.iter().map(|candidate| &candidate.vm)
+        let trial = self.split.as_ref().and_then(VersionSplit::trial_members);
+        let vms = self.candidates.iter().map(|candidate| &candidate.vm);
+        vms.filter(move |vm| trial.is_none_or(|trial| !trial.contains(*vm)))
     }
 
     /// Returns the delay after which a second copy of an idempotent request is sent, given the target latency of its route.
--- a/crates/router/src/entry/mod.rs
+++ b/crates/router/src/entry/mod.rs
@@ -16,6 +16,8 @@
 mod retry_after;
 mod target;
 mod traffic_splits;
+mod trial_credits;
+mod version_split;
 
 pub(crate) use acknowledgments::Acknowledgments;
 pub(crate) use caller_service::CallerService;
@@ -23,3 +25,4 @@
 pub(crate) use keyed_router::KeyedRouter;
 pub(crate) use keyless_router::KeylessRouter;
 pub(crate) use traffic_splits::TrafficSplits;
+pub(crate) use trial_credits::TrialCredits;
--- a/crates/router/src/environment/environment_trait.rs
+++ b/crates/router/src/environment/environment_trait.rs
@@ -31,6 +31,19 @@
         sink: DeclarationSink,
     ) -> anyhow::Result<Arc<dyn DeclarationReads>>;
 
+    /// Writes a status for operators under a key, unless it is written already or `may_replace` refuses the present value.
+    /// Blocks until the outcome is known.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason when it is not known whether the status was written, or when it was not.
+    fn publish_status(
+        &self,
+        key: &str,
+        value: &[u8],
+        may_replace: &dyn Fn(&[u8]) -> bool,
+    ) -> Result<(), String>;
+
     /// Parses a message from the local upstream.
     ///
     /// # Errors
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -30,6 +30,7 @@
 use crate::home::messages::upstream_request;
 use crate::home::permit::Permit;
 use crate::home::waiting_request::WaitingRequest;
+use crate::rollout::Observation;
 
 /// Executes one request at the home. The outcome is recorded even if the execution is dropped.
 pub(crate) struct Execution {
@@ -41,7 +42,8 @@
     /// Holds the size of the body until the request has ended.
     _body: ByteReservation,
     is_finished: bool,
-    is_started: bool,
+    /// Start of the request on the upstream, `None` while it waits.
+    started_at: Option<Duration>,
 }
 
 impl Execution {
@@ -55,7 +57,7 @@
             home,
             _body: body,
             is_finished: false,
-            is_started: false,
+            started_at: None,
         }
     }
 
@@ -139,7 +141,7 @@
             return self.not_run(Reason::UpstreamSilent);
         };
         let deadline = self.upstream_deadline();
-        self.is_started = true;
+        self.started_at = Some(permit.started_at());
         let started = arrived.start();
         self.log_dispatch();
         let request = upstream_request(&self.dispatch, &upstream.announcement.instance);
@@ -159,10 +161,16 @@
             Ok(received) => {
                 let started_at = permit.started_at();
                 permit.end(Completion::Answered { latency });
+                let status = received.status.as_u16();
+                let time = latency;
+                self.record_evidence(started_at, Observation::Answered { status, time });
                 self.log_end(started_at, latency, u32::from(received.status.as_u16()));
                 Outcome::Answer(encode_answer(received))
             }
             Err(error) => {
+                if is_lost(&error) {
+                    self.record_evidence(permit.started_at(), Observation::Lost);
+                }
                 let outcome = self.handle_error(permit, started, &upstream, error).await;
                 self.log_refusal(Step::Failed, &outcome);
                 outcome
@@ -170,6 +178,11 @@
         }
     }
 
+    fn record_evidence(&self, started_at: Duration, observation: Observation) {
+        self.home
+            .record_evidence(&self.dispatch, started_at, observation);
+    }
+
     /// Returns the deadline of the request, or the time by which requests on units must have ended if that is earlier.
     fn upstream_deadline(&self) -> Instant {
         let run_until = self.home.shared.view().request_deadline;
@@ -324,16 +337,41 @@
         if self.is_finished {
             return;
         }
-        let stage = if self.is_started { "upstream" } else { "queue" };
+        let stage = match self.started_at {
+            Some(_) => "upstream",
+            None => "queue",
+        };
         let metrics = &self.home.shared.metrics;
         metrics.count_event("caller-left", stage);
         let arrived = ArrivedRequest::new(self.dispatch.request_id.clone());
-        let statement = if self.is_started {
-            arrived.start().refuse(Reason::DeadlinePassed)
-        } else {
-            self.home.cancel(&self.dispatch.request_id);
-            arrived.refuse(Reason::DeadlinePassed, None)
+        let statement = match self.started_at {
+            Some(started_at) => {
+                let time = self.home.shared.clock.now().saturating_sub(started_at);
+                self.record_evidence(started_at, Observation::Left { time });
+                arrived.start().refuse(Reason::DeadlinePassed)
+            }
+            None => {
+                self.home.cancel(&self.dispatch.request_id);
+                arrived.refuse(Reason::DeadlinePassed, None)
+            }
         };
         self.finish(&encode_statement(&statement));
     }
 }
+
+/// Reports whether a request was sent and no complete answer to it arrived.
+fn is_lost(error: &DispatchError) -> bool {
+    match error {
+        DispatchError::ConnectionLost(_)
+        | DispatchError::MismatchedAnswer(_)
+        | DispatchError::NoAnswer
+        | DispatchError::TimedOut
+        | DispatchError::TooLarge { .. }
+        | DispatchError::Truncated(_) => true,
+        DispatchError::Invalid(_)
+        | DispatchError::NoConnection
+        | DispatchError::NoMemory { .. }
+        | DispatchError::NotRun(_)
+        | DispatchError::NotSent(_) => false,
+    }
+}
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -11,6 +11,7 @@
 use cluster::Body;
 use httpd::ByteReservation;
 use ids::Fence;
+use ids::Offset;
 use ids::RequestId;
 use ids::Unit;
 use membership::Event;
@@ -23,6 +24,7 @@
 use policy::Statement;
 use policy::StatusReply;
 use policy::Ticket;
+use policy::UpstreamEvidence;
 use telemetry::RequestDecision;
 use telemetry::Step;
 use tokio::sync::Notify;
@@ -46,10 +48,12 @@
 use crate::home::messages::grant_of;
 use crate::home::messages::new_request;
 use crate::home::messages::restore_derived_fields;
+use crate::home::messages::route_name;
 use crate::home::request_starter::RequestStarter;
 use crate::home::request_starter::refuse;
 use crate::home::request_starter::refuse_until;
 use crate::home::waiting_request::WaitingRequest;
+use crate::rollout::Observation;
 use crate::shared::Shared;
 use crate::view::View;
 
@@ -163,13 +167,17 @@
         }
     }
 
-    /// Returns the reason why a request may not start in view of a graceful stop or of the state of the zone, if there is one.
+    /// Returns the reason why a request may not start in view of a graceful stop, of the state of the zone, or of the version
+    /// of the upstream, if there is one.
     fn refusal_reason(&self, dispatch: &Dispatch) -> Option<Reason> {
         if !self.may_start(dispatch) {
             return Some(Reason::Stopping);
         }
-        let is_open = self.shared.view().is_zone_open(self.shared.clock.now());
-        (!is_open).then_some(Reason::ZoneOut)
+        let (now, view) = (self.shared.clock.now(), self.shared.view());
+        if !view.is_version_open(now) {
+            return Some(Reason::Stopping);
+        }
+        (!view.is_zone_open(now)).then_some(Reason::ZoneOut)
     }
 
     /// Reports whether a request may start in view of a graceful stop. One without a key can go to another home at once.
@@ -352,6 +360,31 @@
         self.lock().record_outcome(now, request_id, outcome);
     }
 
+    /// Records how a request that started at `started_at` ended, for the roll-out of its service.
+    pub(crate) fn record_evidence(
+        &self,
+        dispatch: &Dispatch,
+        started_at: Duration,
+        observation: Observation,
+    ) {
+        let mut state = self.lock();
+        if state.evidence.is_counted(started_at) && !state.start_rate.is_cold(started_at) {
+            let view = self.shared.view();
+            let route = route_name(dispatch, view.fleet.plans());
+            state.evidence.record(&route, observation);
+        }
+    }
+
+    /// Returns the evidence on the upstream for the roll-out at a position, and collects further evidence for it, or none.
+    pub(crate) fn collect_evidence(&self, position: Option<Offset>) -> UpstreamEvidence {
+        let mut state = self.lock();
+        state.evidence.collect_for(position);
+        match position {
+            Some(_) => state.evidence.evidence().clone(),
+            None => UpstreamEvidence::default(),
+        }
+    }
+
     /// Returns the accepted upstream.
     pub(crate) fn upstream(&self) -> Option<LocalUpstream> {
         self.lock().upstream.clone()
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -42,6 +42,7 @@
 use crate::home::unit_tracker::UnitTracker;
 use crate::home::waiting_request::WaitingRequest;
 use crate::quarantine::suspicion_levels;
+use crate::rollout::HomeEvidence;
 use crate::settings::LimitKind;
 use crate::settings::Limits;
 use crate::settings::PolicySettings;
@@ -58,6 +59,8 @@
 #[derive(Debug)]
 pub(crate) struct HomeState {
     pub(crate) units: UnitTracker,
+    /// Evidence on the upstream for the roll-out of its service.
+    pub(crate) evidence: HomeEvidence,
     pub(crate) start_rate: StartRateLimiter,
     /// The request that starts next, blocked for now by requests that run.
     pub(crate) blocked: Option<QueuedRequest<WaitingRequest>>,
@@ -137,6 +140,7 @@
     pub(crate) fn new(now: Duration, limits: &Limits, policy: &PolicySettings) -> Self {
         Self {
             units: UnitTracker::new(policy.load_memory(), policy.weighs_request_time),
+            evidence: HomeEvidence::default(),
             start_rate: StartRateLimiter::default(),
             blocked: None,
             fleet_version: (0, 0),
@@ -168,6 +172,7 @@
         self.stopping.retain(|stopping, _| *stopping == process);
         self.limiter.restart(now, announcement.slots);
         self.service_times.clear();
+        self.evidence.restart();
         let declared = view.fleet.plans().services.get(&announcement.service);
         let upstream = LocalUpstream::new(
             Arc::clone(announcement),
--- a/crates/router/src/home/messages.rs
+++ b/crates/router/src/home/messages.rs
@@ -4,8 +4,11 @@
 
 use bytes::Bytes;
 use cluster::Fleet;
+use config::HostRouteMatch;
+use config::Plans;
 use http::HeaderName;
 use http::HeaderValue;
+use http::header::HOST;
 use ids::Fence;
 use ids::Unit;
 use policy::Content;
@@ -60,6 +63,25 @@
     Some((unit, dispatch.fence))
 }
 
+/// Returns the name of the route of a dispatch, which is that of its service unless requests are routed by host.
+pub(crate) fn route_name(dispatch: &Dispatch, plans: &Plans) -> String {
+    let mut headers = dispatch.headers.iter();
+    let host = headers.find(|header| header.name == HOST.as_str());
+    let host = host.and_then(|header| std::str::from_utf8(&header.value).ok());
+    let host = host
+        .and_then(|host| host.split(':').next())
+        .unwrap_or_default();
+    let path = dispatch
+        .path_and_query
+        .split('?')
+        .next()
+        .unwrap_or_default();
+    match plans.host_route(&host.to_ascii_lowercase(), path) {
+        HostRouteMatch::Found(route) => route.name.clone(),
+        HostRouteMatch::Absent | HostRouteMatch::Unreadable => dispatch.service.clone(),
+    }
+}
+
 /// Returns a dispatch in the form that the request memory takes.
 pub(crate) fn new_request(dispatch: &Dispatch) -> NewRequest {
     let workspace = dispatch.workspace.clone().unwrap_or_default();
--- a/crates/router/src/home/queue_maintenance.rs
+++ b/crates/router/src/home/queue_maintenance.rs
@@ -38,6 +38,11 @@
                     refuse(queued, Reason::ZoneOut);
                 }
             }
+            if !view.is_version_open(now) {
+                for queued in state.queue.take_matching(&|_| true) {
+                    refuse(queued, Reason::Stopping);
+                }
+            }
             state.tick(now);
             for queued in state.queue.take_expired(now) {
                 refuse_expired(now, queued);
--- a/crates/router/src/home/request_starter.rs
+++ b/crates/router/src/home/request_starter.rs
@@ -87,6 +87,7 @@
         match self.state.suspects.try_start(self.now, ticket, fingerprint) {
             StartDecision::Started => {
                 self.state.start_rate.record_sent(self.now);
+                self.state.evidence.record_start(self.now);
                 self.grant_permit(ticket, unit, queued);
                 None
             }
@@ -114,6 +115,9 @@
         if !self.view.is_zone_open(self.now) {
             return Err(Reason::ZoneOut);
         }
+        if !self.view.is_version_open(self.now) {
+            return Err(Reason::Stopping);
+        }
         let fleet = &self.view.fleet;
         let (offset, revision) = (waiting.entry_offset, waiting.entry_revision);
         let tenant_key = waiting.tenant_key.as_ref();
--- a/crates/router/src/operator/operator_service.rs
+++ b/crates/router/src/operator/operator_service.rs
@@ -98,6 +98,7 @@
             plans_version: fleet.plans_version(),
             process: self.process_report(&view),
             quarantine: fleet.quarantine().keys().cloned().collect(),
+            rollouts: self.shared.rollout_statuses(),
             units: fleet.owners().len(),
             unowned_units: fleet.unowned_units().len(),
             workspaces_version: fleet.workspaces_version(),
--- a/crates/router/src/operator/status_report.rs
+++ b/crates/router/src/operator/status_report.rs
@@ -8,6 +8,7 @@
 
 use crate::operator::member_report::MemberReport;
 use crate::operator::process_report::ProcessReport;
+use crate::rollout::RolloutStatus;
 
 /// State of the fleet as one process knows it, as reported to operators.
 #[derive(Debug, Serialize)]
@@ -21,6 +22,7 @@
     pub(crate) process: ProcessReport,
     /// Fingerprints of requests in quarantine.
     pub(crate) quarantine: Vec<String>,
+    pub(crate) rollouts: Vec<RolloutStatus>,
     pub(crate) units: usize,
     pub(crate) unowned_units: usize,
     pub(crate) workspaces_version: Offset,
--- a/crates/router/src/process/control_thread.rs
+++ b/crates/router/src/process/control_thread.rs
@@ -27,6 +27,9 @@
 use crate::handover::IncomingHandovers;
 use crate::home::Home;
 use crate::peer_client::PeerClient;
+use crate::rollout::RolloutControl;
+use crate::rollout::RolloutParts;
+use crate::rollout::StatusWriter;
 use crate::shared::Shared;
 
 /// Components of the control thread, before it starts.
@@ -45,6 +48,7 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) stopped: CancellationToken,
     pub(crate) peer_client: PeerClient,
+    pub(crate) status_writer: Option<StatusWriter>,
     pub(crate) writer: LogWriter,
 }
 
@@ -68,6 +72,11 @@
 
     async fn run(self) -> Result<()> {
         let socket = UdpSocket::from_std(self.datagrams)?;
+        let rollouts = RolloutControl::new(RolloutParts {
+            home: Arc::clone(&self.home),
+            shared: Arc::clone(&self.shared),
+            status_writer: self.status_writer,
+        });
         let parts = ControlParts {
             agent: self.agent,
             handovers: self.handovers,
@@ -80,6 +89,7 @@
             shared: self.shared,
             stopped: self.stopped,
             peer_client: self.peer_client,
+            rollouts,
             upstream: UpstreamControl::new(self.control),
             writer: self.writer,
         };
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -40,6 +40,7 @@
 use crate::entry::KeyedRouter;
 use crate::entry::KeylessRouter;
 use crate::entry::TrafficSplits;
+use crate::entry::TrialCredits;
 use crate::handover::IncomingHandovers;
 use crate::home::Home;
 use crate::limits::Buckets;
@@ -51,6 +52,7 @@
 use crate::peer_client::PeerClient;
 use crate::process::control_thread::ControlThread;
 use crate::process::listeners::Listeners;
+use crate::rollout::StatusWriter;
 use crate::shared::Shared;
 
 /// Maximum number of open connections for each of the interfaces for operators, metrics and the local upstream.
@@ -91,7 +93,7 @@
             peer: settings.addresses.peer,
             region: settings.region.clone(),
             retention: settings.log.retention(),
-            rollouts_enabled: false,
+            rollouts_enabled: settings.rollout.is_some(),
             seed,
             stop_timeout: settings.limits.move_timeout(),
             vm: settings.vm.clone(),
@@ -167,6 +169,11 @@
             Arc::clone(&self.shared),
             self.control.clone(),
         )?;
+        let status_writer = self.environment.clone().map(|environment| {
+            let (control, shared) = (self.control.clone(), Arc::clone(&self.shared));
+            StatusWriter::start(environment, control, shared)
+        });
+        let status_writer = status_writer.transpose()?;
         if let Some(listener) = listeners.metrics {
             spawn_local_server(listener, self.metrics_service(), stop);
         }
@@ -207,6 +214,7 @@
             shared: self.shared,
             stopped: self.stopped,
             peer_client,
+            status_writer,
             writer,
         };
         Ok((serving, thread.start()?))
@@ -306,6 +314,7 @@
         CallerService {
             keyed_router: KeyedRouter {
                 home_client: Arc::clone(&home_client),
+                trial_credits: TrialCredits::default(),
             },
             keyless_router: KeylessRouter::new(home_client, self.seed),
             limiters,
--- a/crates/router/src/settings/rollout_settings.rs
+++ b/crates/router/src/settings/rollout_settings.rs
@@ -46,12 +46,7 @@
             0,
             1_000_000,
         )?;
-        check_range(
-            "rollout.max_share_percent",
-            self.max_share_percent,
-            1,
-            50,
-        )?;
+        check_range("rollout.max_share_percent", self.max_share_percent, 1, 50)?;
         if let Some(share) = self.max_share
             && !(0.01..=0.5).contains(&share)
         {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -38,6 +38,7 @@
 use crate::control_traffic::ControlTraffic;
 use crate::lease::Lease;
 use crate::record_store::RecordStore;
+use crate::rollout::RolloutStatus;
 use crate::settings::Limits;
 use crate::settings::PolicySettings;
 use crate::settings::RolloutSettings;
@@ -64,6 +65,8 @@
     pub(crate) records: RecordStore,
     /// Bounds of version roll-outs, `None` if orders of roll-outs are not supported.
     pub(crate) rollout: Option<RolloutSettings>,
+    /// State of roll-outs, for operators.
+    rollout_statuses: Mutex<Vec<RolloutStatus>>,
     pub(crate) vm: VmId,
     pub(crate) zone: ZoneId,
     /// The graceful stop, once it has begun.
@@ -87,6 +90,8 @@
             lacks_declarations: false,
             pending_zones: Arc::default(),
             request_deadline: None,
+            rollout_starts_until: None,
+            rollouts: Arc::default(),
             serving: Arc::default(),
             starts_until: None,
             status: Arc::new(agent.status(Duration::ZERO)),
@@ -112,6 +117,7 @@
             rate_tolerance: settings.rate_tolerance.clone(),
             records: RecordStore::default(),
             rollout: settings.rollout.clone(),
+            rollout_statuses: Mutex::default(),
             stop: OnceLock::new(),
             view: ArcSwap::from_pointee(view),
             vm: settings.vm.clone(),
@@ -220,6 +226,21 @@
         self.lock_invalid_declarations().clone()
     }
 
+    /// Replaces the state of roll-outs for operators.
+    pub(crate) fn set_rollout_statuses(&self, statuses: Vec<RolloutStatus>) {
+        *self.lock_rollout_statuses() = statuses;
+    }
+
+    /// Returns the state of roll-outs for operators.
+    pub(crate) fn rollout_statuses(&self) -> Vec<RolloutStatus> {
+        self.lock_rollout_statuses().clone()
+    }
+
+    fn lock_rollout_statuses(&self) -> MutexGuard<'_, Vec<RolloutStatus>> {
+        let statuses = self.rollout_statuses.lock();
+        statuses.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_invalid_declarations(&self) -> MutexGuard<'_, Vec<String>> {
         let problems = self.invalid_declarations.lock();
         problems.unwrap_or_else(PoisonError::into_inner)
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -12,6 +12,8 @@
 use membership::Status;
 use policy::Reason;
 
+use crate::rollout::Rollouts;
+
 /// State of the fleet and of this process, published by the control thread as a whole.
 #[derive(Clone, Debug)]
 pub(crate) struct View {
@@ -32,6 +34,11 @@
     pub(crate) pending_zones: Arc<PendingZones>,
     /// Time by which requests that are dispatched now must have ended, or `None` if the upstream enforces that itself.
     pub(crate) request_deadline: Option<Duration>,
+    /// Time from which no request is started on the upstream, since a roll-out withdraws its version or no decider confirms its
+    /// trial; `None` while there is no such time.
+    pub(crate) rollout_starts_until: Option<Duration>,
+    /// Roll-outs of versions of upstreams.
+    pub(crate) rollouts: Arc<Rollouts>,
     /// Units whose requests this process may dispatch, with their fences.
     pub(crate) serving: Arc<BTreeMap<Unit, Fence>>,
     /// Time from which no request is started on the upstream, since its zone is out of service; `None` while it is in service.
@@ -48,6 +55,11 @@
         self.starts_until.is_none_or(|until| now < until)
     }
 
+    /// Reports whether requests may be started on the upstream in view of its version.
+    pub(crate) fn is_version_open(&self, now: Duration) -> bool {
+        self.rollout_starts_until.is_none_or(|until| now < until)
+    }
+
     /// Returns the reason to refuse a request with, in place of one that states that something is not declared while this
     /// process cannot know what has been declared in the meantime.
     pub(crate) fn known_reason(&self, reason: Reason) -> Reason {
--- a/crates/skylarkctl/src/command.rs
+++ b/crates/skylarkctl/src/command.rs
@@ -33,6 +33,7 @@
 pub(crate) enum Query {
     Explain { request_id: RequestId },
     Owner { service: ServiceId, key: String },
+    Rollouts,
     Status,
 }
 
--- a/crates/skylarkctl/src/explain/process_problems.rs
+++ b/crates/skylarkctl/src/explain/process_problems.rs
@@ -29,6 +29,8 @@
     invalid_declarations: Option<(u64, String)>,
     /// Time at which each dependency was lost, and the problem that was observed.
     lost_dependencies: BTreeMap<(Dependency, String), (u64, String)>,
+    /// Roll-outs that are being carried out, by service, with the time since which each is in its state.
+    rollouts: BTreeMap<String, (u64, String)>,
     stopping_since: Option<u64>,
     /// Time since which the upstream states the rate of requests that it accepts, and the rate per second.
     upstream_limit: Option<(u64, f64)>,
@@ -70,6 +72,9 @@
             let for_ms = since(*at);
             problems.push(format!("declarations invalid for {for_ms} ms ({problem})"));
         }
+        for (at, what) in vm.rollouts.values() {
+            problems.push(format!("roll-out of {what} for {} ms", since(*at)));
+        }
         if let Some(at) = vm.stopping_since {
             problems.push(format!("stopping for {} ms", since(at)));
         }
@@ -103,6 +108,18 @@
             } => {
                 self.lost_dependencies.remove(&(*dependency, name.clone()));
             }
+            ProcessEvent::RolloutChanged {
+                service,
+                target_version,
+                state,
+                ..
+            } => {
+                let what = format!("{service} to {target_version} is {state}");
+                match state.as_str() {
+                    "trial" | "promoting" => self.rollouts.insert(service.clone(), (at, what)),
+                    _ => self.rollouts.remove(service),
+                };
+            }
             ProcessEvent::Started { .. } => *self = Self::default(),
             ProcessEvent::Stopping => self.stopping_since = Some(at),
             ProcessEvent::UpstreamLimited {
@@ -111,6 +128,8 @@
             } => self.upstream_limit = Some((at, *requests_per_second)),
             ProcessEvent::UpstreamUnlimited { .. } => self.upstream_limit = None,
             ProcessEvent::LinesDropped { .. }
+            | ProcessEvent::RolloutDecided { .. }
+            | ProcessEvent::RolloutOrderRefused { .. }
             | ProcessEvent::SettingsRead { .. }
             | ProcessEvent::SettingsRefused { .. }
             | ProcessEvent::Stopped { .. }
--- a/crates/skylarkctl/src/help.rs
+++ b/crates/skylarkctl/src/help.rs
@@ -24,6 +24,7 @@
 
 commands that ask a process, and need --daemon:
   status                  members, units, zones, and how far each VM has read the log
+  rollouts                versions on trial or rolled out, with their evidence
   owner SERVICE KEY       the unit of a key, and its owner
   explain REQUEST-ID      the decisions that a process took on a request
 
--- a/crates/skylarkctl/src/lib.rs
+++ b/crates/skylarkctl/src/lib.rs
@@ -13,6 +13,7 @@
 mod output;
 mod quarantine;
 mod report;
+mod rollouts_text;
 mod run;
 mod service_state;
 mod status_text;
--- a/crates/skylarkctl/src/options.rs
+++ b/crates/skylarkctl/src/options.rs
@@ -67,6 +67,7 @@
         })),
         "publish" => parse_publish(args).map(Command::Log),
         "quarantine" => parse_quarantine(args).map(Command::Log),
+        "rollouts" => Ok(Command::Query(Query::Rollouts)),
         "show" => Ok(Command::Log(LogCommand::Show {
             kind: parse_kind(args)?,
         })),
--- a/crates/skylarkctl/src/report.rs
+++ b/crates/skylarkctl/src/report.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 
 use crate::explain::RequestTrace;
+use crate::rollouts_text::rollouts_text;
 use crate::status_text::status_text;
 
 /// Result of a command.
@@ -57,6 +58,11 @@
         /// Entries by fingerprint.
         entries: BTreeMap<String, QuarantineEntry>,
     },
+    /// Roll-outs of versions.
+    Rollouts {
+        /// The part of the answer of a process that concerns them.
+        rollouts: Value,
+    },
     /// State of a fleet.
     Status {
         /// The answer of a process.
@@ -104,6 +110,7 @@
                 }
                 writeln!(f, "{} in quarantine", entries.len())
             }
+            Self::Rollouts { rollouts } => f.write_str(&rollouts_text(rollouts)),
             Self::Status { status } => f.write_str(&status_text(status)),
             Self::Text { text } => f.write_str(text),
             Self::Unchanged { what } => writeln!(f, "{what}: already so, nothing was written"),
--- a/crates/skylarkctl/src/run.rs
+++ b/crates/skylarkctl/src/run.rs
@@ -93,6 +93,9 @@
         Query::Owner { service, key } => Ok(Report::Answer {
             answer: daemon.owner(service, key)?,
         }),
+        Query::Rollouts => Ok(Report::Rollouts {
+            rollouts: daemon.status()?["rollouts"].take(),
+        }),
         Query::Status => Ok(Report::Status {
             status: daemon.status()?,
         }),
--- a/crates/skylarkctl/src/status_text.rs
+++ b/crates/skylarkctl/src/status_text.rs
@@ -43,7 +43,7 @@
     )
 }
 
-fn field(value: &Value, name: &str) -> String {
+pub(crate) fn field(value: &Value, name: &str) -> String {
     to_plain_text(&value[name])
 }
 
--- a/crates/telemetry/src/process_event.rs
+++ b/crates/telemetry/src/process_event.rs
@@ -39,6 +39,35 @@
         /// Number of lines dropped since the last event of this kind.
         count: u64,
     },
+    /// The state of a roll-out has changed in the log.
+    RolloutChanged {
+        /// Service of the roll-out.
+        service: String,
+        /// Version to which the traffic moves.
+        target_version: String,
+        /// The state.
+        state: String,
+        /// Reason for the state, empty if there is none.
+        reason: String,
+    },
+    /// This process, as a decider of a roll-out, has decided on its next step.
+    RolloutDecided {
+        /// Service of the roll-out.
+        service: String,
+        /// Version to which the traffic moves.
+        target_version: String,
+        /// The step.
+        step: String,
+        /// Reason of a rollback, empty for other steps.
+        reason: String,
+    },
+    /// An order of a roll-out was refused while an earlier one is carried out.
+    RolloutOrderRefused {
+        /// Service of the roll-out.
+        service: String,
+        /// Why it was refused.
+        problem: String,
+    },
     /// Changed settings were read, and their log level was applied.
     SettingsRead {
         /// Minimum level of log messages from now on.
