Let the number of shards follow from the members when a service is first published

Cause: busy keys are neighbours. With 256 shards for 65,536 keys, 200 neighbouring busy keys lie in one or two shards, and one upstream of 39 gets 16.2 times the mean load if they get 0.4 of the traffic. No placement of whole shards can change that.

Change: a manifest of the platform no longer states the number of shards of a service with numeric keys. The member that publishes it states the number in the record: the registered one, or 40 (policy.shards_per_member) for each member of the service that the log holds, rounded up to a power of two from 256 to 4,096; 256 without the setting. The first record decides. Manifests that are published later, or at the same time by a member that counted others, take over its number instead of being rejected. A process that has only the declared manifest has no number: keys map to no unit, and requests wait or are refused as no-owner, as before. Plans and hashed keys are as before, except that a first declaration with numeric keys and 0 shards is rejected.

Ruled out: computing the number in the fold (it would need the setting), and a number for the declared manifest by each process (members may be counted differently).

--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -59,6 +59,7 @@
     }
 
     fn publish_manifest(&mut self, offset: Offset, manifest: Manifest) -> Result<(), String> {
+        self.check_shards_stated(&manifest.plans)?;
         self.replace_manifest(manifest)?;
         self.plans_version = offset;
         self.workspaces_version = offset;
@@ -66,6 +67,9 @@
     }
 
     /// Puts a manifest into force, and keeps the versions. Manifests are ordered by revision instead of by a base version.
+    ///
+    /// Services with numeric keys keep their registered numbers of shards. A declared manifest whose record is not in the log
+    /// yet leaves the numbers of other services undecided.
     pub(crate) fn replace_manifest(&mut self, manifest: Manifest) -> Result<(), String> {
         if manifest.revision <= self.revision {
             return Err(format!(
@@ -75,10 +79,11 @@
         }
         manifest.check().map_err(|error| error.to_string())?;
         let Manifest {
-            plans,
+            mut plans,
             revision,
             workspaces,
         } = manifest;
+        self.adopt_registered_shards(&mut plans);
         self.register_shards(&plans)?;
         let keys = workspaces.workspaces.iter();
         self.keys = keys
@@ -100,12 +105,43 @@
         self.workspaces
             .check(&plans)
             .map_err(|error| error.to_string())?;
+        self.check_shards_stated(&plans)?;
         self.register_shards(&plans)?;
         self.plans = plans;
         self.plans_version = offset;
         Ok(())
     }
 
+    /// Returns the shard count of a service that was ever declared.
+    pub(crate) fn registered_shards(&self, service: &str) -> Option<u32> {
+        self.shards.get(service).copied()
+    }
+
+    /// Fails if the first record that declares a service with numeric keys does not state its shard count.
+    fn check_shards_stated(&self, plans: &Plans) -> Result<(), String> {
+        let mut services = plans.services.iter();
+        let undecided = services.find(|(service, declared)| {
+            declared.has_undecided_shards() && self.registered_shards(service).is_none()
+        });
+        match undecided {
+            None => Ok(()),
+            Some((service, _)) => Err(format!(
+                "services.{service}.shards: the first declaration of a service with numeric keys must state a number"
+            )),
+        }
+    }
+
+    /// Gives services with numeric keys their registered shard counts. Processes may have published manifests with different
+    /// counts at the same time; the first record decides.
+    fn adopt_registered_shards(&self, plans: &mut Plans) {
+        for (service, declared) in &mut plans.services {
+            let registered = self.registered_shards(service);
+            if let Some(registered) = registered.filter(|_| declared.numeric_keys.is_some()) {
+                declared.shards = registered;
+            }
+        }
+    }
+
     /// Records the shard count of each declared service, and fails if a known service changes its count.
     ///
     /// Another count would map keys to other units at once, while owners that have not read the record still serve
@@ -115,6 +151,11 @@
             let Some(registered) = self.shards.get(service) else {
                 continue;
             };
+            if *registered == 0 && declared.numeric_keys.is_some() {
+                return Err(format!(
+                    "services.{service}: was first declared without keys: declare a service under another name"
+                ));
+            }
             if *registered != declared.shards {
                 return Err(format!(
                     "services.{service}.shards: was first declared as {registered} and cannot change \
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -36,6 +36,7 @@
 mod roster;
 mod roster_witnesses;
 mod service_totals;
+mod shard_counts;
 mod snapshot;
 mod snapshot_error;
 mod snapshot_progress;
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -32,27 +32,43 @@
     pub routes: Vec<Route>,
     /// Number of shards that keys are divided into, or 0 for a service without keys.
     ///
-    /// It can't change once the service has been published.
+    /// It can't change once the service has been published. A manifest of operators may declare 0 for a service with numeric
+    /// keys. The number is then decided when the manifest is published in the log.
     pub shards: u32,
 }
 
 impl Service {
     /// Reports whether the keys of the service have owners.
     pub fn is_keyed(&self) -> bool {
-        self.shards > 0
+        self.shards > 0 || self.numeric_keys.is_some()
     }
 
-    /// Returns the shard of a numeric key, or `None` for any other key.
-    pub fn shard_of_numeric_key(&self, key: &str) -> Option<u32> {
+    /// Reports whether the service has numeric keys whose number of shards is not decided yet. Its keys belong to no shard.
+    pub fn has_undecided_shards(&self) -> bool {
+        self.shards == 0 && self.numeric_keys.is_some()
+    }
+
+    /// Reports whether a key may belong to the service: any key unless keys are numeric.
+    pub fn accepts_key(&self, key: &str) -> bool {
+        self.numeric_keys.is_none() || self.numeric_key(key).is_some()
+    }
+
+    fn numeric_key(&self, key: &str) -> Option<u32> {
         let keys = self.numeric_keys?;
-        let number = key.parse::<u32>().ok().filter(|number| *number < keys)?;
+        key.parse::<u32>().ok().filter(|number| *number < keys)
+    }
+
+    /// Returns the shard of a numeric key, or `None` for any other key and while the number of shards is not decided.
+    pub fn shard_of_numeric_key(&self, key: &str) -> Option<u32> {
+        let keys = self.numeric_keys.filter(|_| self.shards > 0)?;
+        let number = self.numeric_key(key)?;
         let shard = u64::from(number) * u64::from(self.shards) / u64::from(keys);
         u32::try_from(shard).ok()
     }
 
-    /// Returns the range of keys of a shard, or `None` if keys are not numeric.
+    /// Returns the range of keys of a shard, or `None` if keys are not numeric or the number of shards is not decided.
     pub fn range_of_shard(&self, shard: u32) -> Option<KeyRange> {
-        let keys = u64::from(self.numeric_keys?);
+        let keys = u64::from(self.numeric_keys.filter(|_| self.shards > 0)?);
         let shards = u64::from(self.shards);
         let start = |index: u64| u32::try_from((index * keys).div_ceil(shards)).ok();
         Some(KeyRange {
--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -118,9 +118,13 @@
         {
             return;
         }
-        let Some(manifest) = self.declarations.manifest.clone() else {
+        let Some(mut manifest) = self.declarations.manifest.clone() else {
             return;
         };
+        let shards_per_member = self.cfg.shards_per_member;
+        self.log
+            .fleet()
+            .state_shards(&mut manifest, shards_per_member);
         self.appends
             .drop_where(|body| published_revision(body).is_some());
         let body = Body::Publish {
--- a/crates/membership/src/agent_settings.rs
+++ b/crates/membership/src/agent_settings.rs
@@ -35,6 +35,10 @@
     pub retention: Option<Duration>,
     /// Seed of record ids, different at every start of the process.
     pub seed: u64,
+    /// Number of shards for each member of a service with numeric keys when its first manifest is published; `None` for a
+    /// fixed number.
+    #[serde(default)]
+    pub shards_per_member: Option<u32>,
     /// Time limit of a graceful stop. In its second half, units that could not be moved are left to the other members.
     #[serde(default = "default_stop_timeout")]
     pub stop_timeout: Duration,
--- a/crates/membership/tests/lost_declaration_reads.rs
+++ b/crates/membership/tests/lost_declaration_reads.rs
@@ -86,6 +86,7 @@
                 region: "r".to_owned(),
                 retention: None,
                 seed: rng.random(),
+                shards_per_member: None,
                 stop_timeout: Duration::from_secs(20),
                 vm: format!("vm-{index:03}"),
                 zone: format!("zone-{}", index % ZONES),
--- a/crates/membership/tests/model/node.rs
+++ b/crates/membership/tests/model/node.rs
@@ -142,6 +142,7 @@
         peer,
         region: "region".to_owned(),
         seed,
+        shards_per_member: None,
         stop_timeout: Duration::from_secs(20),
         vm: format!("vm-{index}"),
         zone: format!("zone-{}", index % 3),
--- a/crates/membership/tests/polled/process.rs
+++ b/crates/membership/tests/polled/process.rs
@@ -45,6 +45,7 @@
             region: "r".to_owned(),
             retention: None,
             seed: 7,
+            shards_per_member: None,
             stop_timeout: Duration::from_secs(20),
             vm: "vm-1".to_owned(),
             zone: "z".to_owned(),
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -23,7 +23,12 @@
 
 /// Returns the agent of the process of a VM that has just started.
 pub(crate) fn agent_of(vm: &str) -> Agent {
-    Agent::new(AgentSettings {
+    Agent::new(agent_settings(vm))
+}
+
+/// Returns the settings of the process of a VM.
+pub(crate) fn agent_settings(vm: &str) -> AgentSettings {
+    AgentSettings {
         evacuation_timeout: Duration::from_secs(5),
         lease: LEASE,
         load_tolerance: None,
@@ -32,10 +37,11 @@
         region: "r".to_owned(),
         retention: None,
         seed: 7,
+        shards_per_member: None,
         stop_timeout: std::time::Duration::from_secs(20),
         vm: vm.to_owned(),
         zone: "z".to_owned(),
-    })
+    }
 }
 
 /// Returns a manifest that declares nothing.
--- a/crates/router/src/entry/caller_request.rs
+++ b/crates/router/src/entry/caller_request.rs
@@ -274,9 +274,7 @@
 
 fn check_key(key: Option<&str>, service_config: &Service) -> Result<(), Reason> {
     let key = key.ok_or(Reason::BadHeader)?;
-    let is_valid =
-        service_config.numeric_keys.is_none() || service_config.shard_of_numeric_key(key).is_some();
-    if key.is_empty() || key.len() > MAX_KEY_BYTES || !is_valid {
+    if key.is_empty() || key.len() > MAX_KEY_BYTES || !service_config.accepts_key(key) {
         return Err(Reason::BadHeader);
     }
     Ok(())
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -92,6 +92,7 @@
             region: settings.region.clone(),
             retention: settings.log.retention(),
             seed,
+            shards_per_member: settings.policy.shards_per_member,
             stop_timeout: settings.limits.move_timeout(),
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
--- a/crates/router/src/settings/policy_settings.rs
+++ b/crates/router/src/settings/policy_settings.rs
@@ -27,6 +27,9 @@
     pub queue: QueueKind,
     /// Method that enforces the rates of workspaces.
     pub rate: RateKind,
+    /// Number of shards for each member of a service with numeric keys, from which its number of shards follows when its
+    /// first manifest is published. If absent, it has 256.
+    pub shards_per_member: Option<u32>,
     /// Whether loads are weighted by the mean duration of a request, so that slow upstreams own fewer units.
     pub weighs_request_time: bool,
     /// Latency added to that of an upstream in another zone when upstreams are compared, in milliseconds.
@@ -85,6 +88,7 @@
             load_tolerance_percent: None,
             queue: QueueKind::Fair,
             rate: RateKind::Leased,
+            shards_per_member: None,
             weighs_request_time: false,
             zone_distance_ms: 3,
         }
@@ -103,6 +107,9 @@
         if let Some(percent) = self.load_tolerance_percent {
             check_range("policy.load_tolerance_percent", percent, 1, 90)?;
         }
+        if let Some(shards) = self.shards_per_member {
+            check_range("policy.shards_per_member", u64::from(shards), 1, 1_000)?;
+        }
         check_range("policy.zone_distance_ms", self.zone_distance_ms, 0, 10_000)
     }
 
