--- a/crates/policy/src/balanced_chooser.rs
+++ b/crates/policy/src/balanced_chooser.rs
@@ -45,6 +45,17 @@
 /// Random draws before all upstreams are searched in order.
 const MAX_DRAWS: usize = 8;
 
+/// Upstreams that were drawn at random.
+#[derive(Clone, Debug)]
+pub(crate) enum Draw {
+    /// No other can be used.
+    Only(VmId),
+    /// An ejected upstream, to be probed.
+    Probe(VmId),
+    /// Two upstreams, the first in the entry's zone if possible.
+    Two(VmId, VmId),
+}
+
 /// Chooses the better of two randomly drawn upstreams by the entry's own requests in flight and the
 /// latency that it observes.
 ///
@@ -140,7 +151,7 @@
     ///
     /// An upstream that is ramping up is drawn in proportion to its share, or if no random draw
     /// succeeds and none has a larger share.
-    fn draw(
+    fn draw_one(
         &mut self,
         now: Duration,
         vms: &[VmId],
@@ -166,6 +177,43 @@
         best.map(|(_, vm)| vm.clone())
     }
 
+    /// Draws an upstream to probe, or two upstreams to choose from.
+    pub(crate) fn draw(&mut self, now: Duration, excluded: &BTreeSet<VmId>) -> Option<Draw> {
+        self.refresh_median(now);
+        if let Some(vm) = self.find_probe_target(now, excluded) {
+            return Some(Draw::Probe(vm));
+        }
+        let (first, second) = self.draw_candidates(now, excluded)?;
+        Some(match second {
+            Some(second) => Draw::Two(first, second),
+            None => Draw::Only(first),
+        })
+    }
+
+    /// Draws another upstream that is not busy, in the entry's zone or in any zone.
+    pub(crate) fn draw_more(
+        &mut self,
+        now: Duration,
+        excluded: &BTreeSet<VmId>,
+        drawn: &[VmId],
+        is_in_zone: bool,
+    ) -> Option<VmId> {
+        let busy = std::mem::take(&mut self.busy);
+        let vms = std::mem::take(match is_in_zone {
+            true => &mut self.same_zone,
+            false => &mut self.all,
+        });
+        let is_excluded =
+            |vm: &VmId| excluded.contains(vm) || drawn.contains(vm) || busy.contains_key(vm);
+        let more = self.draw_one(now, &vms, is_excluded);
+        self.busy = busy;
+        match is_in_zone {
+            true => self.same_zone = vms,
+            false => self.all = vms,
+        }
+        more
+    }
+
     /// Draws two upstreams that are not busy, or any two if all are.
     fn draw_candidates(
         &mut self,
@@ -194,11 +242,11 @@
         );
         let is_excluded = |vm: &VmId| excluded.contains(vm);
         let first = self
-            .draw(now, &same_zone, is_excluded)
-            .or_else(|| self.draw(now, &all, is_excluded));
+            .draw_one(now, &same_zone, is_excluded)
+            .or_else(|| self.draw_one(now, &all, is_excluded));
         let second = first.as_ref().and_then(|first| {
             let is_excluded = |vm: &VmId| vm == first || excluded.contains(vm);
-            self.draw(now, &all, is_excluded)
+            self.draw_one(now, &all, is_excluded)
         });
         self.same_zone = same_zone;
         self.all = all;
@@ -218,15 +266,16 @@
 
 impl Chooser for BalancedChooser {
     fn choose(&mut self, now: Duration, excluded: &BTreeSet<VmId>) -> Option<Choice> {
-        self.refresh_median(now);
-        if let Some(vm) = self.find_probe_target(now, excluded) {
-            let reason = ChoiceReason::Probe;
-            return Some(Choice { reason, vm });
-        }
-        let (first, second) = self.draw_candidates(now, excluded)?;
-        let Some(second) = second else {
-            let reason = ChoiceReason::Only;
-            return Some(Choice { reason, vm: first });
+        let (first, second) = match self.draw(now, excluded)? {
+            Draw::Probe(vm) => {
+                let reason = ChoiceReason::Probe;
+                return Some(Choice { reason, vm });
+            }
+            Draw::Only(vm) => {
+                let reason = ChoiceReason::Only;
+                return Some(Choice { reason, vm });
+            }
+            Draw::Two(first, second) => (first, second),
         };
         let default_latency = self.median.map_or(DEFAULT_LATENCY, |median| median / 2);
         let first_score = self.score(now, &first, default_latency);
--- a/crates/policy/src/start_rate_limiter.rs
+++ b/crates/policy/src/start_rate_limiter.rs
@@ -54,6 +54,11 @@
         now < self.cold_until && self.cold_requests_per_second > 0
     }
 
+    /// Returns the number of requests per second that the upstream can serve now because it is cold, or `None` if it is not.
+    pub fn cold_rate(&self, now: Duration) -> Option<u32> {
+        self.is_cold(now).then_some(self.cold_requests_per_second)
+    }
+
     /// Reports whether a request may be sent.
     pub fn allows(&self, now: Duration) -> bool {
         self.delay(now, 0).is_zero()
