State the work of homes in replies, and place requests without keys by it

With policy.chooser "expected-completion", homes learn costs, speed and remaining work, and each reply to a request without a key carries them (HomeLoad in Answer and Refused, left out by default and while nothing is learned). The entry records them; a call to the own process is told without a message. Costs are learned from answers below 500 of an upstream that is not cold. The fourth figure of x-server-load, where it is sent, states the speed of the machine; a cold upstream counts with its cold rate.

--- a/crates/router/src/entry/home_client.rs
+++ b/crates/router/src/entry/home_client.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::HomeWork;
 use policy::Outcome as RunOutcome;
 use policy::Reason;
 use policy::Statement;
@@ -24,6 +25,7 @@
 use crate::home::clear_derived_fields;
 use crate::home::decode_statement;
 use crate::links::LinkPool;
+use crate::request_cost::decode_work;
 use crate::shared::Shared;
 
 /// Time after the deadline in which the home can still report that it did not run the request.
@@ -47,23 +49,26 @@
 }
 
 impl HomeClient {
-    /// Sends a request, and queries its outcome if the link breaks before the answer arrives.
+    /// Sends a request, and queries its outcome if the link breaks before the answer arrives. Returns what the home states of
+    /// its work as well, if it does.
     pub(crate) async fn send(
         &self,
         target: &Target,
         dispatch: Dispatch,
         deadline: Duration,
-    ) -> Reply {
+    ) -> (Reply, Option<HomeWork>) {
         let request_id = dispatch.request_id.clone();
         if target.vm == self.shared.vm {
+            let kind = self.home.cost_key_of(&dispatch);
             let outcome = self.home.run(dispatch).await;
+            let work = kind.and_then(|kind| self.home.work(&kind));
             if matches!(outcome, Outcome::Answer(_)) {
                 self.home.acknowledge(std::slice::from_ref(&request_id));
             }
-            return outcome_reply(&request_id, outcome);
+            return (outcome_reply(&request_id, outcome), work);
         }
         let Some(link) = self.links.link(&target.vm, target.address).await else {
-            return not_run(&request_id, Reason::OwnerUnreachable);
+            return (not_run(&request_id, Reason::OwnerUnreachable), None);
         };
         self.send_over(&link, target, dispatch, deadline).await
     }
@@ -74,7 +79,7 @@
         target: &Target,
         mut dispatch: Dispatch,
         deadline: Duration,
-    ) -> Reply {
+    ) -> (Reply, Option<HomeWork>) {
         clear_derived_fields(&mut dispatch);
         let request_id = dispatch.request_id.clone();
         let needs_acknowledgment = !dispatch.idempotent;
@@ -89,6 +94,7 @@
         });
         let remaining = deadline.saturating_sub(self.shared.clock.now());
         let sent = self.shared.clock.now();
+        let mut work = None;
         let reply = match link.dispatch(dispatch, remaining + HOME_GRACE).await {
             Ok(outcome) => {
                 let elapsed = self.shared.clock.now().saturating_sub(sent);
@@ -96,6 +102,7 @@
                 if needs_acknowledgment && matches!(outcome, Outcome::Answer(_)) {
                     self.acknowledgments.add(link, request_id.clone());
                 }
+                work = outcome.load().as_ref().map(decode_work);
                 outcome_reply(&request_id, outcome)
             }
             Err(CallError::Busy) => not_run(&request_id, Reason::Overloaded),
@@ -107,7 +114,7 @@
             }
         };
         cancellation.disarm();
-        reply
+        (reply, work)
     }
 
     /// Queries the home for the outcome of a request whose answer did not arrive.
--- a/crates/router/src/entry/keyed_router.rs
+++ b/crates/router/src/entry/keyed_router.rs
@@ -108,7 +108,7 @@
         self.home_client.record(step, dispatch, target, "owner");
         dispatch.attempt += 1;
         let dispatched = admitted.dispatch(target.vm.clone());
-        let reply = self
+        let (reply, _) = self
             .home_client
             .send(target, dispatch.clone(), deadline)
             .await;
--- a/crates/router/src/entry/keyless_request.rs
+++ b/crates/router/src/entry/keyless_request.rs
@@ -11,10 +11,13 @@
 use ids::VmId;
 use policy::AdmittedRequest;
 use policy::Completion;
+use policy::CostKey;
 use policy::DispatchedRequest;
+use policy::HomeWork;
 use policy::Reason;
 use policy::Refusal;
 use policy::RequestHead;
+use policy::RequestKind;
 use policy::Resolution;
 use policy::RetryDecision;
 use policy::Statement;
@@ -32,6 +35,8 @@
 use crate::entry::retry_after::retry_after;
 use crate::entry::target::Target;
 use crate::links::SILENCE_TIMEOUT;
+use crate::request_cost::cost_key;
+use crate::settings::ChooserKind;
 
 /// Interval between checks whether the homes of a request are silent.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -41,6 +46,7 @@
     dispatch: Dispatch,
     excluded: BTreeSet<VmId>,
     hedge_at: Option<Instant>,
+    kind: RequestKind,
     router: &'a KeylessRouter,
     replies: FuturesUnordered<BoxFuture<'a, (VmId, Reply)>>,
     /// Time of the next check whether the homes of the request are silent.
@@ -52,6 +58,7 @@
     /// Time until which the home cannot start another request, if it has said so.
     busy_until: Option<Duration>,
     completion: Completion,
+    kind: RequestKind,
     router: &'a KeylessRouter,
     service: String,
     started: Duration,
@@ -62,10 +69,20 @@
 
 impl<'a> KeylessRequest<'a> {
     pub(crate) fn new(router: &'a KeylessRouter, dispatch: Dispatch) -> Self {
+        let shared = &router.home_client.shared;
+        let cost_key = match shared.policy.chooser {
+            ChooserKind::ExpectedCompletion => cost_key(&shared.view().fleet, &dispatch),
+            ChooserKind::Balanced | ChooserKind::RoundRobin => CostKey::default(),
+        };
+        let kind = RequestKind {
+            cost_key,
+            target_latency: Duration::from_millis(dispatch.target_latency_ms),
+        };
         Self {
             dispatch,
             excluded: BTreeSet::new(),
             hedge_at: None,
+            kind,
             router,
             replies: FuturesUnordered::new(),
             silence_check_at: None,
@@ -75,8 +92,7 @@
     /// Sends the request, and retries it until it is answered or must not or cannot be sent again.
     pub(crate) async fn run(mut self, mut admitted: AdmittedRequest) -> Result<Answer, Refusal> {
         loop {
-            let Some((target, reason)) = self.router.choose_target(&self.dispatch, &self.excluded)
-            else {
+            let Some((target, reason)) = self.choose_target() else {
                 let delay = self.retry_after(admitted.head().deadline);
                 return Err(admitted.refuse(Reason::NoOwner, Some(delay)));
             };
@@ -131,6 +147,11 @@
         }
     }
 
+    fn choose_target(&self) -> Option<(Target, String)> {
+        self.router
+            .choose_target(&self.dispatch, &self.kind, &self.excluded)
+    }
+
     fn retry_after(&self, deadline: Duration) -> Duration {
         retry_after(self.router.home_client.shared.clock.now(), deadline)
     }
@@ -203,8 +224,7 @@
     }
 
     fn send_copy(&mut self, dispatched: &mut DispatchedRequest, step: Step) -> bool {
-        let Some((target, reason)) = self.router.choose_target(&self.dispatch, &self.excluded)
-        else {
+        let Some((target, reason)) = self.choose_target() else {
             return false;
         };
         let is_new =
@@ -244,11 +264,12 @@
         self.silence_check_at = may_resend.then(|| Instant::now() + SILENCE_TIMEOUT);
         self.excluded.insert(target.vm.clone());
         let ticket = self.router.with_service(&self.dispatch.service, |service| {
-            service.record_start(now, &target.vm)
+            service.record_start(now, &target.vm, &self.kind)
         });
         let mut in_flight = InFlight {
             busy_until: None,
             completion: Completion::Cancelled,
+            kind: self.kind.clone(),
             router: self.router,
             service: self.dispatch.service.clone(),
             started: now,
@@ -258,8 +279,8 @@
         };
         let dispatch = self.dispatch.clone();
         let send_and_complete = async move {
-            let reply = home_client.send(&target, dispatch, deadline).await;
-            in_flight.complete(&reply);
+            let (reply, work) = home_client.send(&target, dispatch, deadline).await;
+            in_flight.complete(&reply, work);
             (target.vm, reply)
         };
         self.replies.push(send_and_complete.boxed());
@@ -267,8 +288,13 @@
 }
 
 impl InFlight<'_> {
-    fn complete(&mut self, reply: &Reply) {
+    fn complete(&mut self, reply: &Reply, work: Option<HomeWork>) {
         let now = self.router.home_client.shared.clock.now();
+        if let Some(work) = work {
+            self.router.with_service(&self.service, |service| {
+                service.record_work(now, &self.vm, &self.kind, work);
+            });
+        }
         match reply {
             Reply::Answer(_) => {
                 let latency = now.saturating_sub(self.started);
--- a/crates/router/src/entry/keyless_router.rs
+++ b/crates/router/src/entry/keyless_router.rs
@@ -11,6 +11,7 @@
 use policy::AdmittedRequest;
 use policy::Choice;
 use policy::Refusal;
+use policy::RequestKind;
 use policy::SuspicionLevel;
 use policy::isolation_home;
 use wire::Answer;
@@ -69,6 +70,7 @@
     pub(crate) fn choose_target(
         &self,
         dispatch: &Dispatch,
+        kind: &RequestKind,
         excluded: &BTreeSet<VmId>,
     ) -> Option<(Target, String)> {
         let fleet = &self.home_client.shared.view().fleet;
@@ -79,19 +81,24 @@
             return Some((Target::member(fleet, &vm)?, "isolated".to_owned()));
         }
         let mut excluded = excluded.clone();
-        let mut choice = self.choose(dispatch, &excluded)?;
+        let mut choice = self.choose(dispatch, kind, &excluded)?;
         if self.home_client.links.is_silent(&choice.vm) && excluded.insert(choice.vm.clone()) {
-            choice = self.choose(dispatch, &excluded)?;
+            choice = self.choose(dispatch, kind, &excluded)?;
         }
         let reason = format!("{:?}", choice.reason).to_lowercase();
         Some((Target::member(fleet, &choice.vm)?, reason))
     }
 
-    fn choose(&self, dispatch: &Dispatch, excluded: &BTreeSet<VmId>) -> Option<Choice> {
+    fn choose(
+        &self,
+        dispatch: &Dispatch,
+        kind: &RequestKind,
+        excluded: &BTreeSet<VmId>,
+    ) -> Option<Choice> {
         let now = self.home_client.shared.clock.now();
         self.with_service(&dispatch.service, |service| {
-            let choice = service.choose(now, excluded);
-            choice.or_else(|| service.choose(now, &BTreeSet::new()))
+            let choice = service.choose(now, excluded, kind);
+            choice.or_else(|| service.choose(now, &BTreeSet::new(), kind))
         })
     }
 
--- a/crates/router/src/entry/keyless_service.rs
+++ b/crates/router/src/entry/keyless_service.rs
@@ -14,7 +14,10 @@
 use policy::Choice;
 use policy::Chooser;
 use policy::Completion;
+use policy::ExpectedCompletion;
 use policy::HedgePolicy;
+use policy::HomeWork;
+use policy::RequestKind;
 use policy::RetryBudget;
 use policy::RoundRobin;
 use policy::Ticket;
@@ -46,6 +49,10 @@
                 let chooser = BalancedChooser::new(zone.clone(), seed);
                 Box::new(chooser.with_zone_distance(policy.zone_distance()))
             }
+            ChooserKind::ExpectedCompletion => {
+                let distance = policy.zone_distance();
+                Box::new(ExpectedCompletion::new(zone.clone(), seed, distance))
+            }
             ChooserKind::RoundRobin => Box::new(RoundRobin::default()),
         };
         Self {
@@ -94,18 +101,34 @@
     }
 
     /// Chooses a home outside `excluded`.
-    pub(crate) fn choose(&mut self, now: Duration, excluded: &BTreeSet<VmId>) -> Option<Choice> {
-        self.chooser.choose(now, excluded)
+    pub(crate) fn choose(
+        &mut self,
+        now: Duration,
+        excluded: &BTreeSet<VmId>,
+        kind: &RequestKind,
+    ) -> Option<Choice> {
+        self.chooser.choose_for(now, excluded, kind)
     }
 
     /// Records that a request is sent to a home, and returns its ticket.
-    pub(crate) fn record_start(&mut self, now: Duration, vm: &VmId) -> Ticket {
+    pub(crate) fn record_start(&mut self, now: Duration, vm: &VmId, kind: &RequestKind) -> Ticket {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        self.chooser.record_start(now, vm, ticket);
+        self.chooser.record_start_of(now, vm, ticket, kind);
         ticket
     }
 
+    /// Records what a home states of its work.
+    pub(crate) fn record_work(
+        &mut self,
+        now: Duration,
+        vm: &VmId,
+        kind: &RequestKind,
+        work: HomeWork,
+    ) {
+        self.chooser.record_work(now, vm, kind, work);
+    }
+
     /// Records that a home cannot start another request until a time.
     pub(crate) fn record_busy(&mut self, vm: &VmId, until: Duration) {
         self.chooser.record_busy(vm, until);
--- a/crates/router/src/home/answer_reports.rs
+++ b/crates/router/src/home/answer_reports.rs
@@ -35,6 +35,8 @@
     /// Time at which an answer first stated that the upstream is about to stop.
     leaving_since: Option<Duration>,
     rate: StatedRate,
+    /// Speed that the last answer states of the machine, relative to the usual one.
+    stated_speed: Option<f64>,
     /// Number of requests that were sent besides those that the home started, since the last call of
     /// [`AnswerReports::take_extra_requests`].
     extra_requests: u32,
@@ -74,6 +76,11 @@
         self.lock().rate.is_unknown()
     }
 
+    /// Returns the speed that the upstream states of its machine, relative to the usual one, or `None` if it states none.
+    pub(crate) fn stated_speed(&self) -> Option<f64> {
+        self.lock().stated_speed
+    }
+
     /// Returns the number of requests that were sent besides those that the home started, since the last call.
     pub(crate) fn take_extra_requests(&self) -> u32 {
         std::mem::take(&mut self.lock().extra_requests)
@@ -139,7 +146,12 @@
 
 impl AnswerObserver for AnswerReports {
     fn begin_answer(&self, head: &AnswerHead) {
-        self.lock().last_answer = self.shared.clock.now();
+        let mut state = self.lock();
+        state.last_answer = self.shared.clock.now();
+        if head.stated_speed.is_some() {
+            state.stated_speed = head.stated_speed;
+        }
+        drop(state);
         if head.is_leaving {
             self.record_leaving();
         }
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -7,6 +7,7 @@
 use httpd::ByteReservation;
 use policy::ArrivedRequest;
 use policy::Completion;
+use policy::CostKey;
 use policy::QueuedRequest;
 use policy::Reason;
 use policy::StartedRequest;
@@ -30,11 +31,14 @@
 use crate::home::messages::upstream_request;
 use crate::home::permit::Permit;
 use crate::home::waiting_request::WaitingRequest;
+use crate::request_cost::cost_key;
 
 /// Executes one request at the home. The outcome is recorded even if the execution is dropped.
 pub(crate) struct Execution {
     /// Time at which the request arrived at the home.
     arrived_at: Duration,
+    /// Kind by which the cost is learned, `None` unless requests are placed by cost.
+    cost_key: Option<CostKey>,
     deadline: Duration,
     dispatch: Dispatch,
     home: Arc<Home>,
@@ -48,8 +52,11 @@
     pub(crate) fn new(home: Arc<Home>, dispatch: Dispatch, body: ByteReservation) -> Self {
         let arrived_at = home.shared.clock.now();
         let deadline = arrived_at + Duration::from_millis(dispatch.deadline_ms);
+        let is_placed = home.lock().costs.is_some();
+        let cost_key = is_placed.then(|| cost_key(&home.shared.view().fleet, &dispatch));
         Self {
             arrived_at,
+            cost_key,
             deadline,
             dispatch,
             home,
@@ -90,6 +97,9 @@
         let returned_after_ms = self.dispatch.returned_after_ms;
         let target_left_ms = self.dispatch.target_latency_ms;
         let target_left_ms = target_left_ms.saturating_sub(returned_after_ms);
+        if let (Some(costs), Some(key)) = (&mut self.home.lock().costs, &self.cost_key) {
+            costs.add(self.dispatch.request_id.clone(), key);
+        }
         self.home.enqueue(QueuedRequest {
             deadline: self.queue_deadline(),
             id: self.dispatch.request_id.clone(),
@@ -140,6 +150,9 @@
         };
         let deadline = self.upstream_deadline();
         self.is_started = true;
+        if let Some(costs) = &mut self.home.lock().costs {
+            costs.start(permit.started_at(), &self.dispatch.request_id);
+        }
         let started = arrived.start();
         self.log_dispatch();
         let request = upstream_request(&self.dispatch, &upstream.announcement.instance);
@@ -158,6 +171,9 @@
         match result {
             Ok(received) => {
                 let started_at = permit.started_at();
+                if !received.status.is_server_error() {
+                    self.record_cost(latency);
+                }
                 permit.end(Completion::Answered { latency });
                 self.log_end(started_at, latency, u32::from(received.status.as_u16()));
                 Outcome::Answer(encode_answer(received))
@@ -170,6 +186,18 @@
         }
     }
 
+    /// Records the time on the upstream of a request that was answered. A cold upstream takes longer than usual.
+    fn record_cost(&self, latency: Duration) {
+        let now = self.home.shared.clock.now();
+        let mut state = self.home.lock();
+        if state.start_rate.is_cold(now) {
+            return;
+        }
+        if let (Some(costs), Some(key)) = (&mut state.costs, &self.cost_key) {
+            costs.record_answer(now, key, latency);
+        }
+    }
+
     /// Returns the deadline of the request, or the time by which requests on units must have ended if that is earlier.
     fn upstream_deadline(&self) -> Instant {
         let run_until = self.home.shared.view().request_deadline;
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -17,6 +17,8 @@
 use policy::ArrivedRequest;
 use policy::BeginDecision;
 use policy::Completion;
+use policy::CostKey;
+use policy::HomeWork;
 use policy::PushResult;
 use policy::QueuedRequest;
 use policy::Reason;
@@ -50,6 +52,7 @@
 use crate::home::request_starter::refuse;
 use crate::home::request_starter::refuse_until;
 use crate::home::waiting_request::WaitingRequest;
+use crate::request_cost::cost_key;
 use crate::shared::Shared;
 use crate::view::View;
 
@@ -321,6 +324,7 @@
                 reason: Reason::as_str(reason).to_owned(),
                 not_run: false,
                 retry_after_ms: 0,
+                load: None,
             })
         };
         match self.lock().memory.query_or_bar(now, &query.request_id) {
@@ -349,7 +353,25 @@
     /// Records the outcome of a request.
     pub(crate) fn finish(&self, request_id: &str, outcome: &Outcome) {
         let now = self.shared.clock.now();
-        self.lock().record_outcome(now, request_id, outcome);
+        let mut state = self.lock();
+        if let Some(costs) = &mut state.costs {
+            costs.end(request_id);
+        }
+        state.record_outcome(now, request_id, outcome);
+    }
+
+    /// Returns the kind of a request without a key by which its cost is learned, or `None` unless requests are placed by cost.
+    pub(crate) fn cost_key_of(&self, dispatch: &Dispatch) -> Option<CostKey> {
+        let is_placed = dispatch.key.is_none() && self.lock().costs.is_some();
+        is_placed.then(|| cost_key(&self.shared.view().fleet, dispatch))
+    }
+
+    /// Returns what this home states of its work in the reply to a request, if it has learned any cost.
+    pub(crate) fn work(&self, kind: &CostKey) -> Option<HomeWork> {
+        let now = self.shared.clock.now();
+        let mut state = self.lock();
+        let max_rate = state.cold_rate_per_slot(now);
+        state.costs.as_mut()?.state(now, kind, max_rate)
     }
 
     /// Returns the accepted upstream.
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -18,6 +18,7 @@
 use policy::FifoQueue;
 use policy::Fingerprint;
 use policy::FixedConcurrencyLimiter;
+use policy::HomeCosts;
 use policy::MemoryBounds;
 use policy::Queue;
 use policy::QueueBounds;
@@ -42,6 +43,7 @@
 use crate::home::unit_tracker::UnitTracker;
 use crate::home::waiting_request::WaitingRequest;
 use crate::quarantine::suspicion_levels;
+use crate::settings::ChooserKind;
 use crate::settings::LimitKind;
 use crate::settings::Limits;
 use crate::settings::PolicySettings;
@@ -61,6 +63,8 @@
     pub(crate) start_rate: StartRateLimiter,
     /// The request that starts next, blocked for now by requests that run.
     pub(crate) blocked: Option<QueuedRequest<WaitingRequest>>,
+    /// Costs of requests, `None` unless requests are placed by cost.
+    pub(crate) costs: Option<HomeCosts>,
     /// Offset of the fleet state that was last applied.
     fleet_version: (Offset, u64),
     serving: Arc<BTreeMap<Unit, Fence>>,
@@ -139,6 +143,7 @@
             units: UnitTracker::new(policy.load_memory(), policy.weighs_request_time),
             start_rate: StartRateLimiter::default(),
             blocked: None,
+            costs: (policy.chooser == ChooserKind::ExpectedCompletion).then(HomeCosts::default),
             fleet_version: (0, 0),
             stopping: BTreeMap::new(),
             serving: Arc::default(),
@@ -168,6 +173,9 @@
         self.stopping.retain(|stopping, _| *stopping == process);
         self.limiter.restart(now, announcement.slots);
         self.service_times.clear();
+        if let Some(costs) = &mut self.costs {
+            costs.restart();
+        }
         let declared = view.fleet.plans().services.get(&announcement.service);
         let upstream = LocalUpstream::new(
             Arc::clone(announcement),
--- a/crates/router/src/home/messages.rs
+++ b/crates/router/src/home/messages.rs
@@ -110,6 +110,7 @@
         status: u32::from(answer.status.as_u16()),
         headers: answer.headers.iter().map(header).collect(),
         body: answer.body,
+        load: None,
     }
 }
 
@@ -119,6 +120,7 @@
         reason: statement.reason().as_str().to_owned(),
         not_run: statement.outcome() == RunOutcome::NotRun,
         retry_after_ms: statement.retry_after().map_or(0, milliseconds),
+        load: None,
     })
 }
 
--- a/crates/router/src/home/mod.rs
+++ b/crates/router/src/home/mod.rs
@@ -23,3 +23,4 @@
 pub(crate) use loads::Loads;
 pub(crate) use messages::clear_derived_fields;
 pub(crate) use messages::decode_statement;
+pub(crate) use messages::grant_of;
--- a/crates/router/src/home/upstream_capacity.rs
+++ b/crates/router/src/home/upstream_capacity.rs
@@ -28,6 +28,9 @@
         if rate != self.start_rate.stated_rate() {
             self.start_rate.set_stated_rate(now, rate);
         }
+        if let Some(costs) = &mut self.costs {
+            costs.set_stated_speed(reports.stated_speed());
+        }
         for _ in 0..reports.take_extra_requests() {
             self.start_rate.record_sent(now);
         }
@@ -54,6 +57,13 @@
         ))
     }
 
+    /// Returns the rate per slot at which the upstream may start requests while it is cold, or `None` if it is not.
+    pub(crate) fn cold_rate_per_slot(&self, now: Duration) -> Option<f64> {
+        let rate = self.start_rate.cold_rate(now)?;
+        let slots = self.upstream.as_ref()?.announcement.slots;
+        Some(f64::from(rate) / f64::from(slots.max(1)))
+    }
+
     /// Counts a request that is refused because the upstream limits the rate of requests as load of its unit. The units of such
     /// an upstream would otherwise seem to have no more load than it accepts.
     pub(crate) fn record_refused(&mut self, waiting: &WaitingRequest) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,6 +22,7 @@
 mod process;
 mod quarantine;
 mod record_store;
+mod request_cost;
 mod settings;
 mod shared;
 mod view;
--- a/crates/router/src/links/peer_service.rs
+++ b/crates/router/src/links/peer_service.rs
@@ -23,6 +23,7 @@
 use crate::home::Home;
 use crate::limits::Buckets;
 use crate::links::CancellableCalls;
+use crate::request_cost::encode_work;
 use crate::shared::Shared;
 
 /// Largest number of records in one reply to a pull.
@@ -61,6 +62,7 @@
                 reason: "not-supported".to_owned(),
                 not_run: true,
                 retry_after_ms: 0,
+                load: None,
             }),
             Call::TakeTokens(take) => self.buckets.grant_tokens(&take).into(),
         };
@@ -71,15 +73,18 @@
 
     async fn dispatch(self: Arc<Self>, dispatch: Dispatch, responder: Responder) {
         let call = self.calls.register(&dispatch.request_id);
+        let kind = self.home.cost_key_of(&dispatch);
         let run = responder.run_until_cancelled(self.home.run(dispatch));
         let outcome = tokio::select! {
             biased;
             () = call.cancelled() => return,
             outcome = run => outcome,
         };
-        let Some(outcome) = outcome else {
+        let Some(mut outcome) = outcome else {
             return;
         };
+        let work = kind.and_then(|kind| self.home.work(&kind));
+        outcome.set_load(work.as_ref().map(encode_work));
         if let Err(error) = responder.reply(outcome) {
             log::debug!("answer not sent: {error}");
         }
@@ -117,6 +122,7 @@
                 reason: Reason::Uninformed.as_str().to_owned(),
                 not_run: true,
                 retry_after_ms: 0,
+                load: None,
             });
         }
         let max = pull.max.min(MAX_PULLED_RECORDS) as usize;
--- a/crates/router/src/settings/policy_settings.rs
+++ b/crates/router/src/settings/policy_settings.rs
@@ -42,6 +42,9 @@
 pub enum ChooserKind {
     /// Compares upstreams by the requests that this process has in flight to them, and by their latency.
     Balanced,
+    /// Compares upstreams by the time at which they are expected to have completed a request, from learned costs, speeds and
+    /// remaining work.
+    ExpectedCompletion,
     /// Chooses each upstream in turn.
     RoundRobin,
 }
--- a/crates/upstream/src/answer_head.rs
+++ b/crates/upstream/src/answer_head.rs
@@ -4,6 +4,12 @@
 
 use crate::Dialect;
 
+/// Index of the time that work takes among the numbers of the load header.
+const TIME_INDEX: usize = 3;
+
+/// Value of that time on a machine of usual speed.
+const USUAL_TIME_PERCENT: f64 = 100.0;
+
 /// What the head of an answer states about the upstream that sent it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AnswerHead {
@@ -13,6 +19,8 @@
     pub number: u64,
     /// The limit that the upstream states on the rate of requests.
     pub rate_limit: RateLimitStatement,
+    /// Speed of the machine relative to the usual one, `None` unless it is stated and can be read.
+    pub stated_speed: Option<f64>,
 }
 
 /// What an answer states about the rate of requests that its upstream accepts.
@@ -33,6 +41,7 @@
             is_leaving: leaving.any(|value| value.as_bytes() == b"1"),
             number,
             rate_limit: RateLimitStatement::parse(headers, dialect),
+            stated_speed: parse_speed(headers, dialect),
         }
     }
 }
@@ -61,3 +70,15 @@
     let rate: f64 = text.parse().ok().filter(|_| is_decimal)?;
     rate.is_finite().then_some(rate)
 }
+
+/// Returns the speed that the load header states. Its numbers are the running and the waiting requests, the slots, and the time
+/// that work takes on the machine at this moment, with 100 as the usual value.
+fn parse_speed(headers: &HeaderMap, dialect: &Dialect) -> Option<f64> {
+    let mut values = headers.get_all(dialect.load.as_ref()?).iter();
+    let value = values.next()?.to_str().ok()?;
+    let is_number_part = |char: char| char.is_ascii_digit() || char == '.';
+    let mut numbers = value.split(|char| !is_number_part(char));
+    let mut numbers = numbers.by_ref().filter(|number| !number.is_empty());
+    let time_percent: f64 = numbers.nth(TIME_INDEX)?.parse().ok()?;
+    (values.next().is_none() && time_percent > 0.0).then(|| USUAL_TIME_PERCENT / time_percent)
+}
--- a/crates/upstream/src/dialect.rs
+++ b/crates/upstream/src/dialect.rs
@@ -26,6 +26,9 @@
     pub key: HeaderName,
     /// Header by which an upstream states, with the value `1`, that it is about to stop.
     pub leaving: HeaderName,
+    /// Header with the load of the upstream, absent if it is not sent: its running and waiting requests, its slots, and the time
+    /// that work takes on its machine, with 100 as the usual value.
+    pub load: Option<HeaderName>,
     /// Header by which an upstream states that it did not run a request.
     pub not_run: HeaderName,
     /// Headers of answers that are meant for this product, and removed before the caller gets the answer.
@@ -54,6 +57,7 @@
             has_idempotency_keys: true,
             key: HeaderName::from_static("skylark-key"),
             leaving: HeaderName::from_static("skylark-leaving"),
+            load: None,
             not_run: HeaderName::from_static("skylark-not-run"),
             private_headers: Vec::new(),
             rate_limit: HeaderName::from_static("skylark-rate-limit"),
--- a/crates/upstream/tests/upstream/statements.rs
+++ b/crates/upstream/tests/upstream/statements.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use http::HeaderName;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use upstream::AnswerHead;
 use upstream::AnswerObserver;
 use upstream::ClientSettings;
+use upstream::Dialect;
 use upstream::RateLimitStatement;
 use upstream::UpstreamClient;
 
@@ -30,7 +32,9 @@
             RateLimitStatement::RequestsPerSecond(rate) => rate.to_string(),
         };
         let leaving = if head.is_leaving { ", leaving" } else { "" };
-        let line = format!("{} {what}: {limit}{leaving}", head.number);
+        let speed = head.stated_speed;
+        let speed = speed.map_or(String::new(), |speed| format!(", speed {speed}"));
+        let line = format!("{} {what}: {limit}{leaving}{speed}", head.number);
         self.lines.lock().unwrap().push(line);
     }
 }
@@ -76,11 +80,15 @@
 
 /// Returns what an observer sees of `answers`, one after the other.
 async fn observe(answers: Vec<String>) -> Vec<String> {
+    observe_with(ClientSettings::default(), answers).await
+}
+
+async fn observe_with(settings: ClientSettings, answers: Vec<String>) -> Vec<String> {
     let count = answers.len();
     let address = start_scripted(answers).await;
     let observer = Arc::new(RecordedAnswers::default());
     let recorded: Arc<dyn AnswerObserver> = Arc::clone(&observer) as _;
-    let client = UpstreamClient::with_observer(address, ClientSettings::default(), recorded);
+    let client = UpstreamClient::with_observer(address, settings, recorded);
     for _ in 0..count {
         let _ = client.dispatch(request("/"), distant_deadline()).await;
     }
@@ -133,6 +141,38 @@
     assert_eq!(seen[0], "0 begins: invalid `5, 7`");
 }
 
+/// Guards against a speed from a header that cannot be read, which would distort the placement of requests.
+#[tokio::test]
+async fn the_speed_of_the_machine_is_read_from_the_load_header() {
+    let cases = [
+        (vec!["load: 3,0,8,200"], ", speed 0.5"),
+        (vec!["load: 3 0 8 80"], ", speed 1.25"),
+        (
+            vec!["load: running=3; waiting=0; slots=8; time=100.0"],
+            ", speed 1",
+        ),
+        (vec!["load: 3,0,8"], ""),
+        (vec!["load: 3,0,8,0"], ""),
+        (vec!["load: 3,0,8,1.2.3"], ""),
+        (vec!["load: "], ""),
+        (vec!["load: 3,0,8,200", "load: 3,0,8,100"], ""),
+    ];
+    let dialect = Dialect {
+        load: Some(HeaderName::from_static("load")),
+        ..Dialect::default()
+    };
+    let settings = ClientSettings {
+        dialect: Arc::new(dialect),
+        ..ClientSettings::default()
+    };
+    for (lines, speed) in cases {
+        let seen = observe_with(settings.clone(), vec![answer("200 OK", &lines, "")]).await;
+        assert_eq!(seen[0], format!("0 begins: none{speed}"), "{lines:?}");
+        let seen = observe(vec![answer("200 OK", &lines, "")]).await;
+        assert_eq!(seen[0], "0 begins: none");
+    }
+}
+
 #[tokio::test]
 async fn a_broken_answer_does_not_end() {
     let whole = answer("200 OK", &[], "body");
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -61,6 +61,7 @@
 pub use message::Header;
 pub use message::Heartbeat;
 pub use message::HeartbeatAnswer;
+pub use message::HomeLoad;
 pub use message::LoadReport;
 pub use message::MemberLoads;
 pub use message::NotOwner;
--- a/crates/wire/src/message/answer.rs
+++ b/crates/wire/src/message/answer.rs
@@ -4,6 +4,7 @@
 use prost::Message;
 
 use crate::Header;
+use crate::HomeLoad;
 
 /// The complete HTTP response of an upstream.
 #[derive(Clone, PartialEq, Message)]
@@ -17,4 +18,7 @@
     /// The body.
     #[prost(bytes = "bytes", tag = "3")]
     pub body: Bytes,
+    /// Load of the home, absent unless the entry needs it.
+    #[prost(message, optional, tag = "4")]
+    pub load: Option<HomeLoad>,
 }
--- a/crates/wire/src/message/outcome.rs
+++ b/crates/wire/src/message/outcome.rs
@@ -1,6 +1,7 @@
 //! Outcome of a dispatched request.
 
 use crate::Answer;
+use crate::HomeLoad;
 use crate::NotOwner;
 use crate::Refused;
 use crate::Reply;
@@ -16,6 +17,26 @@
     Refused(Refused),
 }
 
+impl Outcome {
+    /// Returns what the home states of its load.
+    pub fn load(&self) -> Option<HomeLoad> {
+        match self {
+            Self::Answer(answer) => answer.load,
+            Self::NotOwner(_) => None,
+            Self::Refused(refused) => refused.load,
+        }
+    }
+
+    /// Adds what the home states of its load.
+    pub fn set_load(&mut self, load: Option<HomeLoad>) {
+        match self {
+            Self::Answer(answer) => answer.load = load,
+            Self::NotOwner(_) => {}
+            Self::Refused(refused) => refused.load = load,
+        }
+    }
+}
+
 impl From<Outcome> for Reply {
     fn from(outcome: Outcome) -> Self {
         match outcome {
--- a/crates/wire/src/message/refused.rs
+++ b/crates/wire/src/message/refused.rs
@@ -2,6 +2,8 @@
 
 use prost::Message;
 
+use crate::HomeLoad;
+
 /// States that a home refuses a request.
 #[derive(Clone, PartialEq, Message)]
 pub struct Refused {
@@ -14,4 +16,7 @@
     /// Time after which to retry, in milliseconds, or 0 if a retry is pointless.
     #[prost(uint64, tag = "3")]
     pub retry_after_ms: u64,
+    /// Load of the home, absent unless the entry needs it.
+    #[prost(message, optional, tag = "4")]
+    pub load: Option<HomeLoad>,
 }
