Balance units by expected work, and capacities by speed

Cause: the load of a unit was the time that its requests took with their waits, on the upstream that happens to own it, and every upstream counted with its slots. A shard whose load alone exceeds its owner's share fits into no transfer, so it stayed where the first assignment had put it, on a slow upstream as well.

Change, with policy.chooser "expected-completion" only: the load of a unit is the expected cost of the requests that arrive for it, the capacity is slots times speed (mean over 10 s, and what a stated rate limit leaves), and a unit that alone exceeds its owner's share moves first, to a member that it would load at least a fifth less. Moves stay within the budget. weighs_request_time has no effect then. LoadView::capacity_of bounds capacities at four times the slots, since limited capacities are already at most the slots.

The load messages carry slots times speed as the capacity, and no remaining work: only owners of one service exchange them, and they plan by rates.

--- a/crates/bench/src/placement_simulation.rs
+++ b/crates/bench/src/placement_simulation.rs
@@ -175,6 +175,7 @@
         LoadView {
             capacities: BTreeMap::new(),
             max_shards: None,
+            moves_heavy_units: false,
             tolerance: None,
             budget,
             pending_zones: PendingZones::default(),
--- a/crates/cluster/src/load_view.rs
+++ b/crates/cluster/src/load_view.rs
@@ -9,15 +9,21 @@
 use crate::Member;
 use crate::PendingZones;
 
+/// Largest speed of an upstream relative to the usual one.
+const MAX_SPEED: f64 = 4.0;
+
 /// Loads and limits that a member plans moves with. All loads are in one unit, such as requests per second.
 #[derive(Clone, Debug, Default)]
 pub struct LoadView {
     /// Maximum number of units to move at a time.
     pub budget: usize,
-    /// Capacities of members whose upstreams limit the rate of requests, in slots. Other members have all of their slots.
+    /// Capacities of members whose upstreams limit the rate of requests or whose speeds are known, in slots of an upstream of
+    /// usual speed. Other members have all of their slots.
     pub capacities: BTreeMap<VmId, f64>,
     /// Number of shards at which a member receives no more, or `None` for no limit.
     pub max_shards: Option<usize>,
+    /// Whether a unit that is too heavy for any member's share may move to a member that bears it better.
+    pub moves_heavy_units: bool,
     /// Known total loads of other members, which may be out of date. Loads are used only if those of all other members
     /// of the service are known.
     pub peer_loads: BTreeMap<VmId, f64>,
@@ -40,10 +46,10 @@
         self.pending_zones.is_candidate(fleet, member)
     }
 
-    /// Returns the number of requests that the upstream of a member can run at once.
+    /// Returns the number of requests that the upstream of a member can run at once, weighted by its speed if that is known.
     pub(crate) fn capacity_of(&self, member: &Member) -> f64 {
         let slots = f64::from(member.join.slots);
         let capacity = self.capacities.get(&member.join.vm);
-        capacity.map_or(slots, |capacity| capacity.min(slots))
+        capacity.map_or(slots, |capacity| capacity.min(slots * MAX_SPEED))
     }
 }
--- a/crates/cluster/src/plan_moves.rs
+++ b/crates/cluster/src/plan_moves.rs
@@ -16,6 +16,7 @@
 use crate::plan_pins::service_members;
 use crate::planner::Node;
 use crate::planner::Planner;
+use crate::rendezvous_owner;
 use crate::service_totals::ServiceTotals;
 
 /// Load that an idle unit counts as, relative to the mean load of a unit.
@@ -27,6 +28,9 @@
 /// Load relative to the fair share down to which nothing is moved.
 const MIN_LOAD_RATIO: f64 = 0.85;
 
+/// Utilisation of the new owner of a heavy unit, relative to that of the present one, below which the unit is moved.
+const HEAVY_MOVE_RATIO: f64 = 0.8;
+
 /// Number of units relative to the fair share above which a member ignores the budget to move units
 /// to nearly empty members.
 const FAR_OVER_SHARE_RATIO: f64 = 1.5;
@@ -211,7 +215,38 @@
         } else if self.is_balanced(&nodes) {
             return BTreeMap::new();
         }
-        self.distribute(&nodes, movable, quantum)
+        match self.plan_heavy_move(&nodes, &movable) {
+            Some((to, unit)) => BTreeMap::from([(to, vec![unit])]),
+            None => self.distribute(&nodes, movable, quantum),
+        }
+    }
+
+    /// Plans the move of a unit that alone exceeds the fair share of this member to a member that it would load clearly less,
+    /// for example one with a faster upstream. The distribution moves no such unit, since it fits into no transfer. Owners of
+    /// several such units choose different members.
+    fn plan_heavy_move(&self, nodes: &[Node<'a>], movable: &[(Unit, f64)]) -> Option<(VmId, Unit)> {
+        if !self.view.moves_heavy_units || self.is_leaving() || self.base_load.is_none() {
+            return None;
+        }
+        let heaviest = movable
+            .iter()
+            .max_by(|a, b| a.1.total_cmp(&b.1).then_with(|| b.0.cmp(&a.0)));
+        let (unit, load) = heaviest?;
+        let total: f64 = nodes.iter().map(|node| node.load).sum();
+        if *load <= total * self.share_fraction(nodes) {
+            return None;
+        }
+        let is_me = |node: &&Node<'a>| node.member.join.vm == self.me.join.vm;
+        let own = nodes.iter().find(is_me)?;
+        let max_level = own.load / own.capacity * HEAVY_MOVE_RATIO;
+        let receivers: Vec<&Member> = nodes
+            .iter()
+            .filter(|node| node.eligible && !is_me(node))
+            .filter(|node| (node.load + load) / node.capacity < max_level)
+            .map(|node| node.member)
+            .collect();
+        let to = rendezvous_owner(unit, &receivers)?;
+        Some((to.clone(), unit.clone()))
     }
 
     /// Returns the own shards and pinned keys with their loads.
--- a/crates/membership/src/agent_moves.rs
+++ b/crates/membership/src/agent_moves.rs
@@ -52,6 +52,7 @@
         self.loads.stopping = self.stop_deadline.is_some() || self.upstream.is_draining();
         self.loads.pending_zones = self.pending_zones(now);
         self.loads.max_shards = polls.then_some(MAX_RANGES);
+        self.loads.moves_heavy_units = self.cfg.places_by_cost;
         self.loads.tolerance = self.cfg.load_tolerance;
         self.plan_moves(actions);
         if !is_evacuating && !polls {
--- a/crates/membership/src/agent_settings.rs
+++ b/crates/membership/src/agent_settings.rs
@@ -28,6 +28,9 @@
     pub log_wait: Duration,
     /// Address for peers, over both TCP and UDP.
     pub peer: SocketAddr,
+    /// Whether loads are expected costs, and capacities follow the speeds of upstreams.
+    #[serde(default)]
+    pub places_by_cost: bool,
     /// Region of the VM.
     pub region: RegionId,
     /// Time for which the log keeps records; `None` if it is too long to shorten the interval between snapshots.
--- a/crates/membership/tests/lost_declaration_reads.rs
+++ b/crates/membership/tests/lost_declaration_reads.rs
@@ -83,6 +83,7 @@
                 load_tolerance: None,
                 log_wait: Duration::from_secs(60),
                 peer: address(index),
+                places_by_cost: false,
                 region: "r".to_owned(),
                 retention: None,
                 seed: rng.random(),
--- a/crates/membership/tests/model/node.rs
+++ b/crates/membership/tests/model/node.rs
@@ -140,6 +140,7 @@
         log_wait: Duration::from_millis(1_500),
         retention: None,
         peer,
+        places_by_cost: false,
         region: "region".to_owned(),
         seed,
         shards_per_member: None,
--- a/crates/membership/tests/polled/process.rs
+++ b/crates/membership/tests/polled/process.rs
@@ -42,6 +42,7 @@
             load_tolerance: None,
             log_wait: Duration::from_secs(10),
             peer,
+            places_by_cost: false,
             region: "r".to_owned(),
             retention: None,
             seed: 7,
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -34,6 +34,7 @@
         load_tolerance: None,
         log_wait: LOG_WAIT,
         peer: "10.0.0.1:7000".parse().unwrap(),
+        places_by_cost: false,
         region: "r".to_owned(),
         retention: None,
         seed: 7,
--- a/crates/policy/src/home_costs.rs
+++ b/crates/policy/src/home_costs.rs
@@ -11,19 +11,26 @@
 use crate::RemainingWork;
 use crate::SpeedEstimate;
 
+/// Time constant of the mean speed by which units are distributed. Keys are not served while their unit moves, so units do not
+/// follow each change of the speed.
+const UNIT_SPEED_TIME: Duration = Duration::from_secs(10);
+
 /// Costs of requests, speed of the upstream and remaining work at one home.
 #[derive(Clone, Debug, Default)]
 pub struct HomeCosts {
     estimates: CostEstimates,
+    mean_speed: Option<f64>,
+    mean_speed_at: Duration,
     speed: SpeedEstimate,
     work: RemainingWork,
 }
 
 impl HomeCosts {
-    /// Records that a request waits.
-    pub fn add(&mut self, id: RequestId, key: &CostKey) {
+    /// Records that a request waits, and returns its expected cost.
+    pub fn add(&mut self, id: RequestId, key: &CostKey) -> Cost {
         let cost = self.estimates.estimate(key);
         self.work.add(id, cost);
+        cost
     }
 
     /// Records that a waiting request starts.
@@ -55,6 +62,7 @@
     pub fn restart(&mut self) {
         self.estimates = CostEstimates::default();
         self.speed = SpeedEstimate::default();
+        self.mean_speed = None;
     }
 
     /// Returns the expected cost of a request.
@@ -67,6 +75,18 @@
         self.speed.speed(now)
     }
 
+    /// Returns the capacity by which units are distributed, in slots of an upstream of speed 1: `slots` times the mean speed.
+    pub fn capacity(&mut self, now: Duration, slots: u32) -> f64 {
+        let speed = self.speed.speed(now);
+        let elapsed = now.saturating_sub(self.mean_speed_at).as_secs_f64();
+        self.mean_speed_at = now;
+        let kept = (-elapsed / UNIT_SPEED_TIME.as_secs_f64()).exp();
+        let mean = self.mean_speed.unwrap_or(speed);
+        let mean = mean * kept + speed * (1.0 - kept);
+        self.mean_speed = Some(mean);
+        mean * f64::from(slots)
+    }
+
     /// Returns what the home states of its work in the reply to a request, or `None` until it has learned any cost.
     ///
     /// `max_rate` is the rate per slot at which a cold upstream may start requests, if it is cold.
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -18,6 +18,7 @@
 use policy::CostEstimates;
 use policy::CostKey;
 use policy::ExpectedCompletion;
+use policy::HomeCosts;
 use policy::HomeWork;
 use policy::MAX_COST_ENTRIES;
 use policy::MAX_SPEED;
@@ -251,6 +252,45 @@
     assert_eq!(work.total(SECOND, 1.0), Duration::ZERO);
 }
 
+/// Guards against units that follow each change of a speed, since keys are not served while their unit moves.
+#[test]
+fn the_capacity_for_units_follows_the_mean_speed() {
+    let mut costs = HomeCosts::default();
+    let mut now = SECOND;
+    assert_eq!(costs.capacity(now, 8), 8.0);
+    costs.set_stated_speed(Some(0.5));
+    now += SECOND;
+    let soon = costs.capacity(now, 8);
+    assert!((7.0..8.0).contains(&soon), "{soon}");
+    for _ in 0..40 {
+        now += SECOND;
+        costs.capacity(now, 8);
+    }
+    let settled = costs.capacity(now, 8);
+    assert!((4.0..4.2).contains(&settled), "{settled}");
+    costs.restart();
+    assert_eq!(costs.capacity(now, 8), 8.0, "another upstream");
+}
+
+#[test]
+fn a_home_states_nothing_until_it_has_learned_and_its_cold_rate_while_it_is_cold() {
+    let mut costs = HomeCosts::default();
+    assert_eq!(costs.state(SECOND, &key("a", 0), None), None);
+    for step in 0..20 {
+        costs.record_answer(SECOND + step * MS, &key("a", 0), 100 * MS);
+    }
+    let now = SECOND + 20 * MS;
+    let expected = costs.add("r".to_owned(), &key("a", 0));
+    let warm = costs.state(now, &key("a", 0), None).unwrap();
+    assert_eq!(warm.remaining, expected.mean);
+    assert!((0.9..1.1).contains(&warm.speed), "{warm:?}");
+    let cold = costs.state(now, &key("a", 0), Some(5.0)).unwrap();
+    assert!((0.4..0.6).contains(&cold.speed), "{cold:?}");
+    costs.end("r");
+    let idle = costs.state(now, &key("a", 0), None).unwrap();
+    assert_eq!(idle.remaining, Duration::ZERO);
+}
+
 /// Returns a chooser with two candidates of one slot in its zone, and the kind of its requests.
 fn chooser_of_two() -> (ExpectedCompletion, RequestKind) {
     let mut chooser = ExpectedCompletion::new("a".to_owned(), 1, NEAR_ZONES);
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -97,8 +97,11 @@
         let returned_after_ms = self.dispatch.returned_after_ms;
         let target_left_ms = self.dispatch.target_latency_ms;
         let target_left_ms = target_left_ms.saturating_sub(returned_after_ms);
-        if let (Some(costs), Some(key)) = (&mut self.home.lock().costs, &self.cost_key) {
-            costs.add(self.dispatch.request_id.clone(), key);
+        if let Some(key) = &self.cost_key {
+            let id = &self.dispatch.request_id;
+            self.home
+                .lock()
+                .record_arrival(id, key, &grant_of(&self.dispatch));
         }
         self.home.enqueue(QueuedRequest {
             deadline: self.queue_deadline(),
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -305,7 +305,7 @@
         let now = self.shared.clock.now();
         let mut state = self.lock();
         state.apply_answer_reports(now, self.shared.limits.drain());
-        let capacity = state.limited_capacity(now);
+        let capacity = state.unit_capacity(now);
         state.units.update_loads(now, owned, capacity)
     }
 
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -139,11 +139,16 @@
 
 impl HomeState {
     pub(crate) fn new(now: Duration, limits: &Limits, policy: &PolicySettings) -> Self {
+        let expects_costs = policy.chooser == ChooserKind::ExpectedCompletion;
         Self {
-            units: UnitTracker::new(policy.load_memory(), policy.weighs_request_time),
+            units: UnitTracker::new(
+                policy.load_memory(),
+                policy.weighs_request_time,
+                expects_costs,
+            ),
             start_rate: StartRateLimiter::default(),
             blocked: None,
-            costs: (policy.chooser == ChooserKind::ExpectedCompletion).then(HomeCosts::default),
+            costs: expects_costs.then(HomeCosts::default),
             fleet_version: (0, 0),
             stopping: BTreeMap::new(),
             serving: Arc::default(),
--- a/crates/router/src/home/unit_tracker.rs
+++ b/crates/router/src/home/unit_tracker.rs
@@ -24,6 +24,8 @@
     busy_times: BTreeMap<Unit, Duration>,
     interval_start: Duration,
     draining: BTreeSet<Unit>,
+    /// Whether loads are the expected costs of the requests that arrive, instead of the times that they took.
+    expects_costs: bool,
     hot_keys: HotKeys,
     /// Last fence under which each unit was served.
     fences: BTreeMap<Unit, Fence>,
@@ -38,21 +40,33 @@
 }
 
 impl UnitTracker {
-    pub(crate) fn new(time_constant: Duration, weighs_request_time: bool) -> Self {
+    pub(crate) fn new(
+        time_constant: Duration,
+        weighs_request_time: bool,
+        expects_costs: bool,
+    ) -> Self {
         Self {
             busy_times: BTreeMap::new(),
             interval_start: Duration::ZERO,
             draining: BTreeSet::new(),
+            expects_costs,
             hot_keys: HotKeys::default(),
             fences: BTreeMap::new(),
             loads: BTreeMap::new(),
             time_constant,
-            weighs_request_time,
+            weighs_request_time: weighs_request_time && !expects_costs,
             request_time: None,
             running: BTreeMap::new(),
         }
     }
 
+    /// Records the arrival of a request with its expected cost, if loads are expected costs.
+    pub(crate) fn record_arrival(&mut self, unit: &Unit, cost: Duration) {
+        if self.expects_costs {
+            *self.busy_times.entry(unit.clone()).or_default() += cost;
+        }
+    }
+
     /// Records the start of a request.
     pub(crate) fn record_start(&mut self, unit: &Unit) {
         *self.running.entry(unit.clone()).or_default() += 1;
@@ -66,7 +80,9 @@
                 self.running.remove(unit);
             }
         }
-        *self.busy_times.entry(unit.clone()).or_default() += busy;
+        if !self.expects_costs {
+            *self.busy_times.entry(unit.clone()).or_default() += busy;
+        }
         let time = busy.as_secs_f64();
         let mean = self.request_time.unwrap_or(time);
         self.request_time = Some(mean + (time - mean) * REQUEST_TIME_WEIGHT);
@@ -77,7 +93,9 @@
 
     /// Records a request that was refused for lack of capacity and would have taken `busy`.
     pub(crate) fn record_refused(&mut self, unit: &Unit, busy: Duration) {
-        *self.busy_times.entry(unit.clone()).or_default() += busy;
+        if !self.expects_costs {
+            *self.busy_times.entry(unit.clone()).or_default() += busy;
+        }
     }
 
     /// Ends a measurement interval, and returns the loads of the units `owned`.
--- a/crates/router/src/home/upstream_capacity.rs
+++ b/crates/router/src/home/upstream_capacity.rs
@@ -3,7 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ids::Fence;
+use ids::RequestId;
+use ids::Unit;
 use membership::UpstreamProcess;
+use policy::CostKey;
 use policy::QueuedRequest;
 use policy::limited_capacity;
 
@@ -57,6 +61,32 @@
         ))
     }
 
+    /// Records the expected cost of a request that has arrived.
+    pub(crate) fn record_arrival(
+        &mut self,
+        id: &RequestId,
+        key: &CostKey,
+        grant: &Option<(Unit, Fence)>,
+    ) {
+        let Some(costs) = &mut self.costs else {
+            return;
+        };
+        let cost = costs.add(id.clone(), key);
+        if let Some((unit, _)) = grant {
+            self.units.record_arrival(unit, cost.mean);
+        }
+    }
+
+    /// Returns the capacity by which units are distributed, or `None` if it is the number of slots.
+    pub(crate) fn unit_capacity(&mut self, now: Duration) -> Option<f64> {
+        let limited = self.limited_capacity(now);
+        let (Some(costs), Some(upstream)) = (&mut self.costs, &self.upstream) else {
+            return limited;
+        };
+        let capacity = costs.capacity(now, upstream.announcement.slots);
+        Some(limited.map_or(capacity, |limited| limited.min(capacity)))
+    }
+
     /// Returns the rate per slot at which the upstream may start requests while it is cold, or `None` if it is not.
     pub(crate) fn cold_rate_per_slot(&self, now: Duration) -> Option<f64> {
         let rate = self.start_rate.cold_rate(now)?;
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -51,6 +51,7 @@
 use crate::peer_client::PeerClient;
 use crate::process::control_thread::ControlThread;
 use crate::process::listeners::Listeners;
+use crate::settings::ChooserKind;
 use crate::shared::Shared;
 
 /// Maximum number of open connections for each of the interfaces for operators, metrics and the local upstream.
@@ -89,6 +90,7 @@
             load_tolerance: settings.policy.load_tolerance(),
             log_wait: settings.log.read_wait(),
             peer: settings.addresses.peer,
+            places_by_cost: settings.policy.chooser == ChooserKind::ExpectedCompletion,
             region: settings.region.clone(),
             retention: settings.log.retention(),
             seed,
--- a/crates/wire/src/message/member_loads.rs
+++ b/crates/wire/src/message/member_loads.rs
@@ -26,7 +26,8 @@
     /// Time since each load was measured, in milliseconds.
     #[prost(uint64, repeated, tag = "6")]
     pub ages_ms: Vec<u64>,
-    /// Capacity of each member whose upstream limits the rate of requests, in thousandths of a slot and one more. 0 for other
+    /// Capacity of each member whose upstream limits the rate of requests, or whose speed is known, in thousandths of a slot and
+    /// one more. 0 for other
     /// members, and empty if there are only others.
     #[prost(uint64, repeated, tag = "7")]
     pub capacities: Vec<u64>,
