Wait with the first manifest while members join, if the number of shards follows from them

Cause: the first manifest is published from 2.5 s after the start of a process on, when only some of the members that start together may have joined on slow machines. The number of shards would follow from these few, for good.

Change: with policy.shards_per_member, a member publishes it only once nobody has joined for 1 s, and at the latest from 5 s after its own start on, plus its turn. Without the setting nothing changes.

--- a/crates/membership/src/agent_declarations.rs
+++ b/crates/membership/src/agent_declarations.rs
@@ -19,6 +19,8 @@
 use crate::times::DECLARATION_SETTLE_TIME;
 use crate::times::DECLARATION_TURN_DELAY;
 use crate::times::FIRST_MANIFEST_DELAY;
+use crate::times::MAX_FIRST_MANIFEST_DELAY;
+use crate::times::MEMBERS_SETTLE_TIME;
 use crate::times::UNINFORMED_AFTER;
 
 impl Agent {
@@ -166,12 +168,22 @@
         let turn = publishers.iter().position(|vm| **vm == self.cfg.vm);
         let turn = turn.unwrap_or(publishers.len());
         let first_at = match fleet.revision() {
-            0 => since.max(FIRST_MANIFEST_DELAY),
+            0 => since.max(self.first_manifest_delay()),
             _ => since,
         };
         first_at + DECLARATION_TURN_DELAY * u32::try_from(turn).unwrap_or(u32::MAX)
     }
 
+    /// Returns the time from the start of this process until which it doesn't publish the first manifest in the log. If numbers
+    /// of shards follow from the members, it waits longer while members join.
+    fn first_manifest_delay(&self) -> Duration {
+        if self.cfg.shards_per_member.is_none() {
+            return FIRST_MANIFEST_DELAY;
+        }
+        let settled_at = self.schedule.members_changed_at + MEMBERS_SETTLE_TIME;
+        settled_at.clamp(FIRST_MANIFEST_DELAY, MAX_FIRST_MANIFEST_DELAY)
+    }
+
     /// Returns the zones whose state operators have declared and that the log does not hold yet.
     pub fn pending_zones(&self, now: Duration) -> PendingZones {
         let fleet = self.log.fleet();
--- a/crates/membership/src/agent_log.rs
+++ b/crates/membership/src/agent_log.rs
@@ -38,6 +38,7 @@
     ) {
         let mut any_applied = false;
         let known_until = self.log.fleet().next_offset();
+        let members = self.log.fleet().members().len();
         for (offset, text) in records {
             if *offset == first_offset(generation_of(*offset)) {
                 self.handle_restore(now, generation_of(*offset), actions);
@@ -57,6 +58,9 @@
         if generation_of(applied_until) > generation_of(known_until) {
             self.adopt_generation(now, known_until);
         }
+        if self.log.fleet().members().len() != members {
+            self.schedule.members_changed_at = now;
+        }
         if any_applied {
             self.update_from_log(now, actions);
         }
--- a/crates/membership/src/schedule.rs
+++ b/crates/membership/src/schedule.rs
@@ -18,6 +18,8 @@
     /// Time of the last plan of moves.
     pub(crate) last_move_plan: Option<Duration>,
     last_tick: Option<Duration>,
+    /// Time at which the number of members last changed.
+    pub(crate) members_changed_at: Duration,
     /// Offset that the newest snapshot covers, and the time at which that was read.
     pub(crate) newest_snapshot: (Offset, Duration),
     /// Time of the next replacement of witnesses that cannot renew.
--- a/crates/membership/src/times.rs
+++ b/crates/membership/src/times.rs
@@ -50,6 +50,13 @@
 /// that start together share the units.
 pub(crate) const FIRST_MANIFEST_DELAY: Duration = Duration::from_millis(2_500);
 
+/// Longest such time, while members still join and the number of shards follows from their number. Units have no owners
+/// meanwhile.
+pub(crate) const MAX_FIRST_MANIFEST_DELAY: Duration = Duration::from_millis(5_000);
+
+/// Time without a join after which the members that start together count as complete.
+pub(crate) const MEMBERS_SETTLE_TIME: Duration = Duration::from_millis(1_000);
+
 /// Time after which the next process in turn writes its state to a log that was restored from a backup.
 pub(crate) const CONTINUATION_TURN_DELAY: Duration = Duration::from_millis(200);
 
--- a/crates/membership/tests/polled/main.rs
+++ b/crates/membership/tests/polled/main.rs
@@ -1,6 +1,7 @@
 //! An upstream that polls its grants by check-ins, at the only member of the fleet.
 
 mod evacuations;
+mod first_manifest;
 mod process;
 
 use cluster::Body;
--- a/crates/membership/tests/polled/process.rs
+++ b/crates/membership/tests/polled/process.rs
@@ -35,6 +35,11 @@
 
 impl Process {
     pub(crate) fn new() -> Self {
+        Self::started_at(Duration::from_secs(5), None)
+    }
+
+    /// Returns a process that has read the empty log and the declared manifest at `now`.
+    pub(crate) fn started_at(now: Duration, shards_per_member: Option<u32>) -> Self {
         let peer: SocketAddr = "10.0.0.1:7000".parse().unwrap();
         let agent = Agent::new(AgentSettings {
             evacuation_timeout: Duration::from_secs(5),
@@ -46,7 +51,7 @@
             region: "r".to_owned(),
             retention: None,
             seed: 7,
-            shards_per_member: None,
+            shards_per_member,
             stop_timeout: Duration::from_secs(20),
             vm: "vm-1".to_owned(),
             zone: "z".to_owned(),
@@ -54,7 +59,7 @@
         let mut process = Self {
             agent,
             answers: Vec::new(),
-            now: Duration::from_secs(5),
+            now,
             offset: 1,
             loses_zone_records: false,
         };
