Try upstreams that an entry knows nothing of, and use its own latencies without a report

Change: the cost on an upstream without a report and without recent latencies counts half, and an upstream without a recent report counts with the latency that the entry observed.

--- a/crates/policy/src/balanced_chooser.rs
+++ b/crates/policy/src/balanced_chooser.rs
@@ -177,6 +177,11 @@
         best.map(|(_, vm)| vm.clone())
     }
 
+    /// Returns the latency of an upstream that was observed recently.
+    pub(crate) fn latency(&self, now: Duration, vm: &VmId) -> Option<Duration> {
+        self.upstreams.get(vm)?.latency(now)
+    }
+
     /// Draws an upstream to probe, or two upstreams to choose from.
     pub(crate) fn draw(&mut self, now: Duration, excluded: &BTreeSet<VmId>) -> Option<Draw> {
         self.refresh_median(now);
--- a/crates/policy/src/expected_completion.rs
+++ b/crates/policy/src/expected_completion.rs
@@ -26,6 +26,9 @@
 /// Number of candidates of all zones that are drawn when the best one would miss the target latency.
 const EXTRA_DRAWS: usize = 2;
 
+/// Divisor of the cost of a request on an upstream that the entry knows nothing of.
+const UNKNOWN_COST_DIVISOR: u32 = 2;
+
 /// Chooses the upstream with the least expected completion time of a few that are drawn at random.
 ///
 /// The expected completion time is the remaining work over slots and speed, the cost of the request over the speed, and the
@@ -82,9 +85,16 @@
             return Duration::MAX;
         };
         let slots = candidate.slots.max(1);
+        let speed = home.speed(now);
         let reported = home.reported_work(now, slots);
         let work = reported.unwrap_or(self.mean_work * slots) + home.unreported_work(now);
-        let speed = home.speed(now);
+        // Without a recent report, the entry's own latencies count. An upstream that it knows nothing of is expected to be
+        // rather fast, so that it is tried.
+        let cost = match (reported, self.draws.latency(now, vm)) {
+            (Some(_), _) => cost,
+            (None, Some(latency)) => cost.max(latency.mul_f64(speed)),
+            (None, None) => cost / UNKNOWN_COST_DIVISOR,
+        };
         let distance = match candidate.zone == self.zone {
             true => Duration::ZERO,
             false => self.zone_distance,
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -377,3 +377,48 @@
     let completion = Completion::Answered { latency };
     chooser.record_completion(SECOND + latency, &"vm-1".to_owned(), 1, completion);
 }
+
+/// Guards against staying with a slow upstream of the own zone while there is little traffic. Load pattern: one request after
+/// the other, to an upstream of the own zone that takes 150 ms from the first or the 20th request on, and to two of other zones
+/// that take 2 ms.
+#[test]
+fn little_traffic_leaves_a_slow_upstream() {
+    for (seed, slow_from) in (0..20).flat_map(|seed| [(seed, 0), (seed, 20)]) {
+        let mut chooser = ExpectedCompletion::new("a".to_owned(), seed, NEAR_ZONES);
+        let candidates: Vec<Candidate> = ["a", "b", "c"]
+            .iter()
+            .enumerate()
+            .map(|(index, zone)| Candidate {
+                slots: 4,
+                vm: format!("vm-{index}"),
+                zone: (*zone).to_owned(),
+            })
+            .collect();
+        chooser.set_candidates(Duration::ZERO, &candidates);
+        let mut homes = [(); 3].map(|()| HomeCosts::default());
+        let mut counts = [0; 3];
+        let mut now = SECOND;
+        let kind = RequestKind {
+            cost_key: key("a", 0),
+            target_latency: 200 * MS,
+        };
+        for ticket in 0..200 {
+            let choice = chooser.choose_for(now, &BTreeSet::new(), &kind).unwrap();
+            let index: usize = choice.vm["vm-".len()..].parse().unwrap();
+            let latency = match index == 0 && ticket >= slow_from {
+                true => 150 * MS,
+                false => 2 * MS,
+            };
+            chooser.record_start_of(now, &choice.vm, ticket, &kind);
+            now += latency;
+            let home = &mut homes[index];
+            home.record_answer(now, &kind.cost_key, latency);
+            let work = home.state(now, &kind.cost_key, None).unwrap();
+            chooser.record_work(now, &choice.vm, &kind, work);
+            chooser.record_completion(now, &choice.vm, ticket, Completion::Answered { latency });
+            counts[index] += u32::from(ticket >= slow_from);
+            now += 100 * MS;
+        }
+        assert!(counts[0] <= 20, "seed {seed}, from {slow_from}: {counts:?}");
+    }
+}
