--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -44,6 +44,7 @@
 mod roster;
 mod roster_witnesses;
 mod service_totals;
+mod shard_counts;
 mod snapshot;
 mod snapshot_error;
 mod snapshot_progress;
--- a/crates/membership/src/agent_moves.rs
+++ b/crates/membership/src/agent_moves.rs
@@ -58,6 +58,7 @@
         self.loads.stopping = self.stop_deadline.is_some() || self.upstream.is_draining();
         self.loads.pending_zones = self.pending_zones(now);
         self.loads.max_shards = polls.then_some(MAX_RANGES);
+        self.loads.moves_heavy_units = self.cfg.places_by_cost;
         self.loads.tolerance = self.cfg.load_tolerance;
         let moves = plan_moves(self.log.fleet(), &self.cfg.vm, &self.loads);
         let is_idle = !self.hand_over(moves, actions);
--- a/crates/membership/src/agent_settings.rs
+++ b/crates/membership/src/agent_settings.rs
@@ -28,6 +28,9 @@
     pub log_wait: Duration,
     /// Address for peers, over both TCP and UDP.
     pub peer: SocketAddr,
+    /// Whether loads are expected costs, and capacities follow the speeds of upstreams.
+    #[serde(default)]
+    pub places_by_cost: bool,
     /// Region of the VM.
     pub region: RegionId,
     /// Time for which the log keeps records; `None` if it is too long to shorten the interval between snapshots.
@@ -38,6 +41,10 @@
     pub rollouts_enabled: bool,
     /// Seed of record ids, different at every start of the process.
     pub seed: u64,
+    /// Number of shards for each member of a service with numeric keys when its first manifest is published; `None` for a
+    /// fixed number.
+    #[serde(default)]
+    pub shards_per_member: Option<u32>,
     /// Time limit of a graceful stop. In its second half, units that could not be moved are left to the other members.
     #[serde(default = "default_stop_timeout")]
     pub stop_timeout: Duration,
--- a/crates/membership/tests/rollouts.rs
+++ b/crates/membership/tests/rollouts.rs
@@ -19,10 +19,10 @@
 use membership::Decision;
 use membership::Event;
 use membership::OperatorDeclarations;
+use support::agent_settings;
 use support::first_publication;
 use support::manifest;
 use support::record;
-use support::settings_of;
 
 const SERVICE: &str = "orders";
 
@@ -141,7 +141,7 @@
 
 #[test]
 fn an_order_is_published_once() {
-    let mut process = Process::new(settings_of("vm-1"));
+    let mut process = Process::new(agent_settings("vm-1"));
     let order = order(5, "v2");
     let actions = process.handle(declared(1, order.clone()));
     let records = process.wait_after(actions);
@@ -157,7 +157,7 @@
 fn an_order_is_not_published_unless_the_settings_enable_that() {
     let mut process = Process::new(AgentSettings {
         rollouts_enabled: false,
-        ..settings_of("vm-1")
+        ..agent_settings("vm-1")
     });
     assert_eq!(published(&mut process, 1, order(5, "v2")), []);
     assert_eq!(process.agent.declared_rollouts().len(), 1);
@@ -165,7 +165,7 @@
 
 #[test]
 fn only_an_order_at_a_later_position_is_published_again() {
-    let mut process = Process::new(settings_of("vm-1"));
+    let mut process = Process::new(agent_settings("vm-1"));
     let first = order(5, "v2");
     process.read(&[record("ordered", ordered(&first))]);
     for position in [3, 5] {
@@ -178,7 +178,7 @@
 /// Guards against a repetition that begins the trial of a version again after its rollback.
 #[test]
 fn a_repetition_that_the_log_has_rejected_is_not_published_again() {
-    let mut process = process_with_service(settings_of("vm-1"));
+    let mut process = process_with_service(agent_settings("vm-1"));
     let first = order(5, "v2");
     let repeated = order(6, "v2");
     process.read(&[
@@ -200,7 +200,7 @@
 /// Guards against an order that the log refuses because it does not know the service yet.
 #[test]
 fn an_order_is_published_after_the_manifest() {
-    let mut process = Process::new(settings_of("vm-1"));
+    let mut process = Process::new(agent_settings("vm-1"));
     let order = order(5, "v2");
     let actions = process.handle(declared(2, order.clone()));
     let records = process.wait_after(actions);
@@ -216,7 +216,7 @@
 
 #[test]
 fn an_order_that_the_log_never_accepts_is_given_up() {
-    let mut process = Process::new(settings_of("vm-1"));
+    let mut process = Process::new(agent_settings("vm-1"));
     let actions = process.handle(declared(1, order(5, "v2")));
     let records = process.wait_after(actions);
     let actions = process.handle(Event::AppendRejected {
@@ -254,7 +254,7 @@
 
 /// Returns a process beside an upstream of a version, which has not joined.
 fn process_beside(version: &str) -> Process {
-    let mut process = process_with_service(settings_of("vm-1"));
+    let mut process = process_with_service(agent_settings("vm-1"));
     process.handle(declared(2, order(5, "v2")));
     let announced = Event::Announced(Announcement {
         address: "10.0.0.1:9000".parse().unwrap(),
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -23,21 +23,23 @@
 
 /// Returns the agent of the process of a VM that has just started.
 pub(crate) fn agent_of(vm: &str) -> Agent {
-    Agent::new(settings_of(vm))
+    Agent::new(agent_settings(vm))
 }
 
 /// Returns the settings of the process of a VM.
-pub(crate) fn settings_of(vm: &str) -> AgentSettings {
+pub(crate) fn agent_settings(vm: &str) -> AgentSettings {
     AgentSettings {
         evacuation_timeout: Duration::from_secs(5),
         lease: LEASE,
         load_tolerance: None,
         log_wait: LOG_WAIT,
         peer: "10.0.0.1:7000".parse().unwrap(),
+        places_by_cost: false,
         region: "r".to_owned(),
         retention: None,
         rollouts_enabled: true,
         seed: 7,
+        shards_per_member: None,
         stop_timeout: std::time::Duration::from_secs(20),
         vm: vm.to_owned(),
         zone: "z".to_owned(),
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -7,6 +7,7 @@
 use httpd::ByteReservation;
 use policy::ArrivedRequest;
 use policy::Completion;
+use policy::CostKey;
 use policy::QueuedRequest;
 use policy::Reason;
 use policy::StartedRequest;
@@ -32,12 +33,15 @@
 use crate::home::permit::Permit;
 use crate::home::route_name::route_name;
 use crate::home::waiting_request::WaitingRequest;
+use crate::request_cost::cost_key;
 use crate::rollout::Observation;
 
 /// Executes one request at the home. The outcome is recorded even if the execution is dropped.
 pub(crate) struct Execution {
     /// Time at which the request arrived at the home.
     arrived_at: Duration,
+    /// Kind by which the cost is learned, `None` unless requests are placed by cost.
+    cost_key: Option<CostKey>,
     deadline: Duration,
     dispatch: Dispatch,
     home: Arc<Home>,
@@ -52,8 +56,11 @@
     pub(crate) fn new(home: Arc<Home>, dispatch: Dispatch, body: ByteReservation) -> Self {
         let arrived_at = home.shared.clock.now();
         let deadline = arrived_at + Duration::from_millis(dispatch.deadline_ms);
+        let is_placed = home.lock().costs.is_some();
+        let cost_key = is_placed.then(|| cost_key(&home.shared.view().fleet, &dispatch));
         Self {
             arrived_at,
+            cost_key,
             deadline,
             dispatch,
             home,
@@ -94,6 +101,12 @@
         let returned_after_ms = self.dispatch.returned_after_ms;
         let target_left_ms = self.dispatch.target_latency_ms;
         let target_left_ms = target_left_ms.saturating_sub(returned_after_ms);
+        if let Some(key) = &self.cost_key {
+            let id = &self.dispatch.request_id;
+            self.home
+                .lock()
+                .record_arrival(id, key, &grant_of(&self.dispatch));
+        }
         self.home.enqueue(QueuedRequest {
             class: class_of(&self.dispatch),
             deadline: self.queue_deadline(),
@@ -156,6 +169,9 @@
         };
         let deadline = self.upstream_deadline();
         self.started_at = Some(permit.started_at());
+        if let Some(costs) = &mut self.home.lock().costs {
+            costs.start(permit.started_at(), &self.dispatch.request_id);
+        }
         let started = arrived.start();
         self.log_dispatch();
         let request = upstream_request(&self.dispatch, &upstream.announcement.instance);
@@ -174,6 +190,9 @@
         match result {
             Ok(received) => {
                 let started_at = permit.started_at();
+                if !received.status.is_server_error() {
+                    self.record_cost(latency);
+                }
                 permit.end(Completion::Answered { latency });
                 let status = received.status.as_u16();
                 let time = latency;
@@ -197,6 +216,18 @@
             .record_evidence(&self.dispatch, started_at, observation);
     }
 
+    /// Records the time on the upstream of a request that was answered. A cold upstream takes longer than usual.
+    fn record_cost(&self, latency: Duration) {
+        let now = self.home.shared.clock.now();
+        let mut state = self.home.lock();
+        if state.start_rate.is_cold(now) {
+            return;
+        }
+        if let (Some(costs), Some(key)) = (&mut state.costs, &self.cost_key) {
+            costs.record_answer(now, key, latency);
+        }
+    }
+
     /// Returns the deadline of the request, or the time by which requests on units must have ended if that is earlier.
     fn upstream_deadline(&self) -> Instant {
         let run_until = self.home.shared.view().request_deadline;
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -22,6 +22,8 @@
 use policy::BeginDecision;
 use policy::CallForecast;
 use policy::Completion;
+use policy::CostKey;
+use policy::HomeWork;
 use policy::PushResult;
 use policy::QueuedRequest;
 use policy::Reason;
@@ -58,6 +60,7 @@
 use crate::home::request_starter::refuse_until;
 use crate::home::route_name::route_name;
 use crate::home::waiting_request::WaitingRequest;
+use crate::request_cost::cost_key;
 use crate::rollout::Observation;
 use crate::shared::Shared;
 use crate::view::View;
@@ -353,7 +356,7 @@
         let now = self.shared.clock.now();
         let mut state = self.lock();
         state.apply_answer_reports(now, self.shared.limits.drain());
-        let capacity = state.limited_capacity(now);
+        let capacity = state.unit_capacity(now);
         state.units.update_loads(now, owned, capacity)
     }
 
@@ -372,6 +375,7 @@
                 reason: Reason::as_str(reason).to_owned(),
                 not_run: false,
                 retry_after_ms: 0,
+                load: None,
             })
         };
         match self.lock().memory.query_or_bar(now, &query.request_id) {
@@ -400,7 +404,25 @@
     /// Records the outcome of a request.
     pub(crate) fn finish(&self, request_id: &str, outcome: &Outcome) {
         let now = self.shared.clock.now();
-        self.lock().record_outcome(now, request_id, outcome);
+        let mut state = self.lock();
+        if let Some(costs) = &mut state.costs {
+            costs.end(request_id);
+        }
+        state.record_outcome(now, request_id, outcome);
+    }
+
+    /// Returns the kind of a request without a key by which its cost is learned, or `None` unless requests are placed by cost.
+    pub(crate) fn cost_key_of(&self, dispatch: &Dispatch) -> Option<CostKey> {
+        let is_placed = dispatch.key.is_none() && self.lock().costs.is_some();
+        is_placed.then(|| cost_key(&self.shared.view().fleet, dispatch))
+    }
+
+    /// Returns what this home states of its work in the reply to a request, if it has learned any cost.
+    pub(crate) fn work(&self, kind: &CostKey) -> Option<HomeWork> {
+        let now = self.shared.clock.now();
+        let mut state = self.lock();
+        let max_rate = state.cold_rate_per_slot(now);
+        state.costs.as_mut()?.state(now, kind, max_rate)
     }
 
     /// Records how a request that started at `started_at` ended, for the roll-out of its service.
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -18,6 +18,7 @@
 use policy::FifoQueue;
 use policy::Fingerprint;
 use policy::FixedConcurrencyLimiter;
+use policy::HomeCosts;
 use policy::MemoryBounds;
 use policy::Queue;
 use policy::QueueBounds;
@@ -44,6 +45,7 @@
 use crate::home::waiting_request::WaitingRequest;
 use crate::quarantine::suspicion_levels;
 use crate::rollout::HomeEvidence;
+use crate::settings::ChooserKind;
 use crate::settings::LimitKind;
 use crate::settings::Limits;
 use crate::settings::PolicySettings;
@@ -65,6 +67,8 @@
     pub(crate) start_rate: StartRateLimiter,
     /// The request that starts next, blocked for now by requests that run.
     pub(crate) blocked: Option<QueuedRequest<WaitingRequest>>,
+    /// Costs of requests, `None` unless requests are placed by cost.
+    pub(crate) costs: Option<HomeCosts>,
     /// Offset of the fleet state that was last applied.
     fleet_version: (Offset, u64),
     serving: Arc<BTreeMap<Unit, Fence>>,
@@ -141,11 +145,17 @@
 
 impl HomeState {
     pub(crate) fn new(now: Duration, limits: &Limits, policy: &PolicySettings) -> Self {
+        let expects_costs = policy.chooser == ChooserKind::ExpectedCompletion;
         Self {
-            units: UnitTracker::new(policy.load_memory(), policy.weighs_request_time),
+            units: UnitTracker::new(
+                policy.load_memory(),
+                policy.weighs_request_time,
+                expects_costs,
+            ),
             evidence: HomeEvidence::default(),
             start_rate: StartRateLimiter::default(),
             blocked: None,
+            costs: expects_costs.then(HomeCosts::default),
             fleet_version: (0, 0),
             stopping: BTreeMap::new(),
             serving: Arc::default(),
@@ -176,6 +186,9 @@
         self.limiter.restart(now, announcement.slots);
         self.service_times.clear();
         self.evidence.restart();
+        if let Some(costs) = &mut self.costs {
+            costs.restart();
+        }
         let declared = view.fleet.plans().services.get(&announcement.service);
         let upstream = LocalUpstream::new(
             Arc::clone(announcement),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,6 +23,7 @@
 mod process;
 mod quarantine;
 mod record_store;
+mod request_cost;
 mod rollout;
 mod settings;
 mod shared;
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -53,6 +53,7 @@
 use crate::process::control_thread::ControlThread;
 use crate::process::listeners::Listeners;
 use crate::rollout::StatusWriter;
+use crate::settings::ChooserKind;
 use crate::shared::Shared;
 
 /// Maximum number of open connections for each of the interfaces for operators, metrics and the local upstream.
@@ -91,10 +92,12 @@
             load_tolerance: settings.policy.load_tolerance(),
             log_wait: settings.log.read_wait(),
             peer: settings.addresses.peer,
+            places_by_cost: settings.policy.chooser == ChooserKind::ExpectedCompletion,
             region: settings.region.clone(),
             retention: settings.log.retention(),
             rollouts_enabled: settings.rollout.is_some(),
             seed,
+            shards_per_member: settings.policy.shards_per_member,
             stop_timeout: settings.limits.move_timeout(),
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
