Judge at the start of a request whether the upstream is cold

Each check-in states the rest of the warm-up anew, so the upstream counted as cold until the last check-in for every request that had started before it. Answers that took longer than the interval of check-ins (150 ms) were thus left out, which hid slow versions. The factor for requests that are overtaken stays, without a measurement of its own.

--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -44,6 +44,8 @@
     is_finished: bool,
     /// Start of the request on the upstream, `None` while it waits.
     started_at: Option<Duration>,
+    /// Whether the upstream was cold when the request started.
+    was_cold: bool,
 }
 
 impl Execution {
@@ -58,6 +60,7 @@
             _body: body,
             is_finished: false,
             started_at: None,
+            was_cold: false,
         }
     }
 
@@ -142,6 +145,7 @@
         };
         let deadline = self.upstream_deadline();
         self.started_at = Some(permit.started_at());
+        self.was_cold = self.home.is_cold();
         let started = arrived.start();
         self.log_dispatch();
         let request = upstream_request(&self.dispatch, &upstream.announcement.instance);
@@ -179,8 +183,10 @@
     }
 
     fn record_evidence(&self, started_at: Duration, observation: Observation) {
-        self.home
-            .record_evidence(&self.dispatch, started_at, observation);
+        if !self.was_cold {
+            self.home
+                .record_evidence(&self.dispatch, started_at, observation);
+        }
     }
 
     /// Returns the deadline of the request, or the time by which requests on units must have ended if that is earlier.
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -368,13 +368,19 @@
         observation: Observation,
     ) {
         let mut state = self.lock();
-        if state.evidence.is_counted(started_at) && !state.start_rate.is_cold(started_at) {
+        if state.evidence.is_counted(started_at) {
             let view = self.shared.view();
             let route = route_name(dispatch, view.fleet.plans());
             state.evidence.record(&route, observation);
         }
     }
 
+    /// Reports whether the upstream is cold. Whether it was so earlier is not known, since each check-in states it anew.
+    pub(crate) fn is_cold(&self) -> bool {
+        let now = self.shared.clock.now();
+        self.lock().start_rate.is_cold(now)
+    }
+
     /// Returns the evidence on the upstream for the roll-out at a position, and collects further evidence for it, or none.
     pub(crate) fn collect_evidence(&self, position: Option<Offset>) -> UpstreamEvidence {
         let mut state = self.lock();
--- a/crates/router/src/rollout/home_evidence.rs
+++ b/crates/router/src/rollout/home_evidence.rs
@@ -10,8 +10,8 @@
 
 /// Factor on the time of a request whose caller left before the answer.
 ///
-/// The second copy is sent after a time that few answers exceed, and overtakes the first within another answer's time. With the
-/// time until then alone, a version that took 700 ms in place of 20 ms was not condemned in two of three runs.
+/// The second copy is sent after a time that few answers exceed, and overtakes the first within another answer's time. The
+/// first would have taken longer than that, but it is not known by how much.
 const LEFT_FACTOR: u32 = 2;
 
 /// Cumulative evidence on the local upstream for one roll-out.
