--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -50,6 +50,8 @@
     is_finished: bool,
     /// Start of the request on the upstream, `None` while it waits.
     started_at: Option<Duration>,
+    /// Whether the upstream was cold when the request started.
+    was_cold: bool,
 }
 
 impl Execution {
@@ -67,6 +69,7 @@
             _body: body,
             is_finished: false,
             started_at: None,
+            was_cold: false,
         }
     }
 
@@ -172,6 +175,7 @@
         if let Some(costs) = &mut self.home.lock().costs {
             costs.start(permit.started_at(), &self.dispatch.request_id);
         }
+        self.was_cold = self.home.is_cold();
         let started = arrived.start();
         self.log_dispatch();
         let request = upstream_request(&self.dispatch, &upstream.announcement.instance);
@@ -212,8 +216,10 @@
     }
 
     fn record_evidence(&self, started_at: Duration, observation: Observation) {
-        self.home
-            .record_evidence(&self.dispatch, started_at, observation);
+        if !self.was_cold {
+            self.home
+                .record_evidence(&self.dispatch, started_at, observation);
+        }
     }
 
     /// Records the time on the upstream of a request that was answered. A cold upstream takes longer than usual.
