--- a/crates/cluster/tests/shard_counts.rs
+++ b/crates/cluster/tests/shard_counts.rs
@@ -26,7 +26,7 @@
 /// Number of keys of the service.
 const KEYS: u32 = 65_536;
 
-/// Setting `policy.shards_per_member` of the template.
+/// Setting `policy.shards_per_member`. That of the template is lower, so that fewer ranges have to fit into an answer.
 const SHARDS_PER_MEMBER: u32 = 40;
 
 /// Maximum length of the ranges in an answer to a check-in, in bytes.
