Share the lookup of a request's route and the question whether costs place requests

The kind of a step of a roll-out follows from the step, so it is no longer passed beside it. Three doc comments are reworded. No behaviour changes.

--- a/crates/cluster/tests/rollout_model.rs
+++ b/crates/cluster/tests/rollout_model.rs
@@ -136,7 +136,7 @@
         .collect()
 }
 
-/// Guards against two ends of a roll-out, or an end that does not last.
+/// Guards against a roll-out that is both completed and rolled back, or whose final state changes.
 #[test]
 fn each_order_ends_at_most_once() {
     check_property(|steps| {
--- a/crates/policy/src/cost.rs
+++ b/crates/policy/src/cost.rs
@@ -7,6 +7,6 @@
 pub struct Cost {
     /// Mean, never zero.
     pub mean: Duration,
-    /// Mean difference to the mean.
+    /// Mean absolute deviation.
     pub spread: Duration,
 }
--- a/crates/router/src/entry/keyless_request.rs
+++ b/crates/router/src/entry/keyless_request.rs
@@ -36,7 +36,6 @@
 use crate::entry::target::Target;
 use crate::links::SILENCE_TIMEOUT;
 use crate::request_cost::cost_key;
-use crate::settings::ChooserKind;
 
 /// Interval between checks whether the homes of a request are silent.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -70,9 +69,9 @@
 impl<'a> KeylessRequest<'a> {
     pub(crate) fn new(router: &'a KeylessRouter, dispatch: Dispatch) -> Self {
         let shared = &router.home_client.shared;
-        let cost_key = match shared.policy.chooser {
-            ChooserKind::ExpectedCompletion => cost_key(&shared.view().fleet, &dispatch),
-            ChooserKind::Balanced | ChooserKind::RoundRobin => CostKey::default(),
+        let cost_key = match shared.policy.places_by_cost() {
+            true => cost_key(&shared.view().fleet, &dispatch),
+            false => CostKey::default(),
         };
         let kind = RequestKind {
             cost_key,
--- a/crates/router/src/home/execution.rs
+++ b/crates/router/src/home/execution.rs
@@ -58,7 +58,7 @@
     pub(crate) fn new(home: Arc<Home>, dispatch: Dispatch, body: ByteReservation) -> Self {
         let arrived_at = home.shared.clock.now();
         let deadline = arrived_at + Duration::from_millis(dispatch.deadline_ms);
-        let is_placed = home.lock().costs.is_some();
+        let is_placed = home.shared.policy.places_by_cost();
         let cost_key = is_placed.then(|| cost_key(&home.shared.view().fleet, &dispatch));
         Self {
             arrived_at,
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -413,7 +413,7 @@
 
     /// Returns the kind of a request without a key by which its cost is learned, or `None` unless requests are placed by cost.
     pub(crate) fn cost_key_of(&self, dispatch: &Dispatch) -> Option<CostKey> {
-        let is_placed = dispatch.key.is_none() && self.lock().costs.is_some();
+        let is_placed = dispatch.key.is_none() && self.shared.policy.places_by_cost();
         is_placed.then(|| cost_key(&self.shared.view().fleet, dispatch))
     }
 
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -45,7 +45,6 @@
 use crate::home::waiting_request::WaitingRequest;
 use crate::quarantine::suspicion_levels;
 use crate::rollout::HomeEvidence;
-use crate::settings::ChooserKind;
 use crate::settings::LimitKind;
 use crate::settings::Limits;
 use crate::settings::PolicySettings;
@@ -145,7 +144,7 @@
 
 impl HomeState {
     pub(crate) fn new(now: Duration, limits: &Limits, policy: &PolicySettings) -> Self {
-        let expects_costs = policy.chooser == ChooserKind::ExpectedCompletion;
+        let expects_costs = policy.places_by_cost();
         Self {
             units: UnitTracker::new(
                 policy.load_memory(),
--- a/crates/router/src/home/mod.rs
+++ b/crates/router/src/home/mod.rs
@@ -25,3 +25,4 @@
 pub(crate) use messages::clear_derived_fields;
 pub(crate) use messages::decode_statement;
 pub(crate) use messages::grant_of;
+pub(crate) use route_name::host_route;
--- a/crates/router/src/process/process_parts.rs
+++ b/crates/router/src/process/process_parts.rs
@@ -53,7 +53,6 @@
 use crate::process::control_thread::ControlThread;
 use crate::process::listeners::Listeners;
 use crate::rollout::StatusWriter;
-use crate::settings::ChooserKind;
 use crate::shared::Shared;
 
 /// Maximum number of open connections for each of the interfaces for operators, metrics and the local upstream.
@@ -92,7 +91,7 @@
             load_tolerance: settings.policy.load_tolerance(),
             log_wait: settings.log.read_wait(),
             peer: settings.addresses.peer,
-            places_by_cost: settings.policy.chooser == ChooserKind::ExpectedCompletion,
+            places_by_cost: settings.policy.places_by_cost(),
             region: settings.region.clone(),
             retention: settings.log.retention(),
             rollouts_enabled: settings.rollout.is_some(),
--- a/crates/router/src/request_cost.rs
+++ b/crates/router/src/request_cost.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use cluster::Fleet;
-use config::HostRouteMatch;
 use policy::CostKey;
 use policy::HomeWork;
 use wire::Dispatch;
 use wire::HomeLoad;
 
 use crate::home::grant_of;
+use crate::home::host_route;
 
 /// Unit of the cost in [`HomeLoad`].
 const COST_UNIT: Duration = Duration::from_micros(100);
@@ -23,30 +23,19 @@
 /// Returns the name of the route of a request, or its prefix if it has no name.
 fn route_name(fleet: &Fleet, dispatch: &Dispatch) -> String {
     let plans = fleet.plans();
-    let (path, _) = split_path(&dispatch.path_and_query);
     if plans.routes_by_host() {
-        let mut headers = dispatch.headers.iter();
-        let host = headers.find(|header| header.name == "host");
-        let host = host.map(|host| String::from_utf8_lossy(&host.value).to_ascii_lowercase());
-        let host = host.unwrap_or_default();
-        let host = host.split(':').next().unwrap_or_default();
-        return match plans.host_route(host, path) {
-            HostRouteMatch::Found(route) if route.name.is_empty() => route.prefix.clone(),
-            HostRouteMatch::Found(route) => route.name.clone(),
-            HostRouteMatch::Absent | HostRouteMatch::Unreadable => String::new(),
+        return match host_route(dispatch, plans) {
+            Some(route) if route.name.is_empty() => route.prefix.clone(),
+            Some(route) => route.name.clone(),
+            None => String::new(),
         };
     }
+    let path = dispatch.path_and_query.split('?').next();
     let service = plans.services.get(&dispatch.service);
-    let route = service.and_then(|service| service.route(&dispatch.method, path));
+    let route = service.and_then(|service| service.route(&dispatch.method, path?));
     route.map(|route| route.prefix.clone()).unwrap_or_default()
 }
 
-fn split_path(path_and_query: &str) -> (&str, &str) {
-    path_and_query
-        .split_once('?')
-        .unwrap_or((path_and_query, ""))
-}
-
 /// Returns what a home states of its work as a peer message.
 pub(crate) fn encode_work(work: &HomeWork) -> HomeLoad {
     let units = |time: Duration, unit: Duration| {
--- a/crates/router/src/rollout/home_evidence.rs
+++ b/crates/router/src/rollout/home_evidence.rs
@@ -69,7 +69,7 @@
         self.serving_since.get_or_insert(now);
     }
 
-    /// Reports whether the end of a request that started at `started_at` counts.
+    /// Reports whether a request that started at `started_at` counts as evidence.
     pub(crate) fn is_counted(&self, started_at: Duration) -> bool {
         let serving_since = self.serving_since.unwrap_or(started_at);
         self.position.is_some() && started_at >= serving_since + SETTLING_TIME
--- a/crates/router/src/rollout/rollout_control.rs
+++ b/crates/router/src/rollout/rollout_control.rs
@@ -163,8 +163,7 @@
         self.status_turns.record_result(now, job, is_written);
         if is_written {
             let step = RolloutStep::Published { state: job.state };
-            let kind = StepKind::Published;
-            self.append(now, &job.service, job.position, kind, step, &mut actions);
+            self.append(now, &job.service, job.position, step, &mut actions);
         }
         actions
     }
@@ -498,26 +497,10 @@
             };
             let decision = self.next_decision(now, fleet, &service, rollout);
             let position = rollout.order.position;
-            let (step, kind) = match &decision {
-                RolloutDecision::Continue => (None, StepKind::Ordered),
-                RolloutDecision::Promote => (Some(RolloutStep::Promoted), StepKind::Promoted),
-                RolloutDecision::Complete => (Some(RolloutStep::Completed), StepKind::Completed),
-                RolloutDecision::RollBack { reason } => {
-                    let reason = reason.clone();
-                    (
-                        Some(RolloutStep::RolledBack { reason }),
-                        StepKind::RolledBack,
-                    )
-                }
-            };
-            if let Some(step) = step {
-                let reason = match &step {
-                    RolloutStep::RolledBack { reason } => reason.clone(),
-                    _ => String::new(),
-                };
-                if self.append(now, &service, position, kind, step, actions) {
-                    self.log_decision(&service, rollout, kind, reason);
-                }
+            if let Some(step) = step_of(&decision)
+                && self.append(now, &service, position, step.clone(), actions)
+            {
+                self.log_decision(&service, rollout, step);
             }
             if let RolloutDecision::RollBack { reason } = &decision {
                 self.permits.roll_back(&service, position, reason);
@@ -553,12 +536,15 @@
         decided.decide(now, fleet, rollout, since_order, since_promoted)
     }
 
-    fn log_decision(&self, service: &ServiceId, rollout: &Rollout, kind: StepKind, reason: String) {
+    fn log_decision(&self, service: &ServiceId, rollout: &Rollout, step: RolloutStep) {
         self.parts.shared.log_event(ProcessEvent::RolloutDecided {
             service: service.clone(),
             target_version: rollout.order.target_version.clone(),
-            step: kind.name().to_owned(),
-            reason,
+            step: StepKind::of(&step).name().to_owned(),
+            reason: match step {
+                RolloutStep::RolledBack { reason } => reason,
+                _ => String::new(),
+            },
         });
     }
 
@@ -608,11 +594,13 @@
         now: Duration,
         service: &ServiceId,
         position: Offset,
-        kind: StepKind,
         step: RolloutStep,
         actions: &mut RolloutActions,
     ) -> bool {
-        let Some(read_back) = self.appends.begin(now, service, position, kind) else {
+        let Some(read_back) = self
+            .appends
+            .begin(now, service, position, StepKind::of(&step))
+        else {
             return false;
         };
         let record = RolloutRecord {
@@ -689,6 +677,18 @@
     }
 }
 
+/// Returns the step that a decision takes, or `None` if it takes none.
+fn step_of(decision: &RolloutDecision) -> Option<RolloutStep> {
+    match decision {
+        RolloutDecision::Continue => None,
+        RolloutDecision::Promote => Some(RolloutStep::Promoted),
+        RolloutDecision::Complete => Some(RolloutStep::Completed),
+        RolloutDecision::RollBack { reason } => Some(RolloutStep::RolledBack {
+            reason: reason.clone(),
+        }),
+    }
+}
+
 /// Returns the time since an order, by the wall clock.
 fn since_order(order: &RolloutOrder) -> Duration {
     Duration::from_millis(unix_ms().saturating_sub(order.ordered_unix_ms))
--- a/crates/router/src/rollout/step_appends.rs
+++ b/crates/router/src/rollout/step_appends.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use cluster::RolloutStep;
 use ids::Offset;
 use ids::ServiceId;
 use tokio::sync::oneshot;
@@ -34,6 +35,17 @@
 }
 
 impl StepKind {
+    /// Returns the kind of a step.
+    pub(crate) fn of(step: &RolloutStep) -> Self {
+        match step {
+            RolloutStep::Ordered { .. } => Self::Ordered,
+            RolloutStep::Promoted => Self::Promoted,
+            RolloutStep::Completed => Self::Completed,
+            RolloutStep::RolledBack { .. } => Self::RolledBack,
+            RolloutStep::Published { .. } => Self::Published,
+        }
+    }
+
     /// Returns the name of the step, for log lines and metrics.
     pub(crate) fn name(self) -> &'static str {
         match self {
--- a/crates/router/src/settings/policy_settings.rs
+++ b/crates/router/src/settings/policy_settings.rs
@@ -99,6 +99,11 @@
 }
 
 impl PolicySettings {
+    /// Reports whether requests and units are placed by the learned costs of requests.
+    pub(crate) fn places_by_cost(&self) -> bool {
+        self.chooser == ChooserKind::ExpectedCompletion
+    }
+
     pub(crate) fn check(&self) -> Result<(), SettingsError> {
         check_range(
             "policy.extra_requests_percent",
