--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -170,8 +170,22 @@
         let new = format!("\"caller_service\": \"{service}\"");
         assert!(text.contains(&old));
         fs::write(&self.settings, text.replace(&old, &new)).unwrap();
+        self.signal("-HUP");
+    }
+
+    /// Stops the process with SIGSTOP.
+    pub fn freeze_process(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets the process continue.
+    pub fn thaw_process(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, signal: &str) {
         if let Some(child) = self.child.lock().unwrap().as_ref() {
-            let _ = Command::new("kill").args(["-HUP", &child.id().to_string()]).status();
+            let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
         }
     }
 
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -12,6 +12,7 @@
 mod reuse;
 mod server;
 mod store;
+mod twice;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -41,6 +42,7 @@
         "late" => cold::run(&record, cold::Trouble::LateCheckIn, has_trouble, &folder),
         "reuse" => reuse::run(&record, reuse::Check::Route, has_trouble, &folder),
         "caller-service" => reuse::run(&record, reuse::Check::CallerService, has_trouble, &folder),
+        "twice" => twice::run(&record, has_trouble, &folder),
         "turns-cold" => cold::run(&record, cold::Trouble::TurnsCold, has_trouble, &folder),
         _ => Verdict::CannotRun,
     };
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -18,6 +18,10 @@
 /// Time that a node has to acknowledge a check-in.
 const ACK_TIME: Duration = Duration::from_secs(1);
 
+/// Prefix of the paths of requests on which a server works for long, and the time that it takes.
+pub const LONG_PREFIX: &str = "/plan/";
+const LONG_WORK: Duration = Duration::from_millis(1_800);
+
 /// Time between two check-ins until all that was left out is released, and after one that failed.
 const SHORT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -255,7 +259,10 @@
             .lock()
             .unwrap()
             .push((id.clone(), path.to_owned(), caller.to_owned()));
-        thread::sleep(self.config.work);
+        thread::sleep(match path.starts_with(LONG_PREFIX) {
+            true => LONG_WORK,
+            false => self.config.work,
+        });
         self.running.fetch_sub(1, Ordering::SeqCst);
         self.end_on(key);
         let stamp = format!("{}.{id}", self.id);
