membership: reject check-ins that name an undeclared service

Seen: after one check-in of another writer, which named a service that no manifest has, two servers held the same keys for 1.8 s (0.5 s are allowed). The server of the process got no keys for the rest of its lifetime.

Cause: Upstream::record_check_in accepted any check-in with a later start time. The process joined again for the unknown service, the log gave its units to others, and the check-ins of the true server counted as outdated.

Change: a check-in is accepted only if the manifest in force or the newest declared one has its service, or if the accepted process of the upstream repeats its own. Before the first manifest any service is accepted; a check-in of a declared service then replaces it, whatever its start time. A rejection states its reason; one for the service is answered 400, logged once and counted as check-in/undeclared-service, others are answered as before.

--- a/crates/membership/src/agent_check_in.rs
+++ b/crates/membership/src/agent_check_in.rs
@@ -3,12 +3,15 @@
 use std::time::Duration;
 
 use cluster::Body;
+use cluster::Fleet;
+use ids::ServiceId;
 
 use crate::Action;
 use crate::Agent;
 use crate::CheckIn;
 use crate::CheckInAnswer;
 use crate::MemberState;
+use crate::OperatorDeclarations;
 use crate::times::MAX_RANGES;
 use crate::times::REFENCE_INTERVAL;
 
@@ -20,8 +23,11 @@
         check_in: &CheckIn,
         actions: &mut Vec<Action>,
     ) {
-        if !self.upstream.record_check_in(now, check_in) {
-            let answer = CheckInAnswer::without_renewal(check_in.id);
+        let (log, declarations) = (&self.log, &self.declarations);
+        let is_declared = |service: &ServiceId| is_declared(log.fleet(), declarations, service);
+        let recorded = self.upstream.record_check_in(now, check_in, is_declared);
+        if let Err(rejection) = recorded {
+            let answer = CheckInAnswer::rejected(check_in.id, rejection);
             actions.push(Action::AnswerCheckIn(answer));
             return;
         }
@@ -93,3 +99,13 @@
         self.appends.append(now, body, actions);
     }
 }
+
+/// Reports whether the manifest in force or the newest one declares a service. Before the first manifest, any service may turn
+/// out to be declared.
+fn is_declared(fleet: &Fleet, declarations: &OperatorDeclarations, service: &ServiceId) -> bool {
+    let declared = declarations.manifest.as_deref();
+    let declared = declared.map(|manifest| &manifest.plans);
+    let in_force = fleet.is_configured().then(|| fleet.plans());
+    let mut manifests = in_force.into_iter().chain(declared).peekable();
+    manifests.peek().is_none() || manifests.any(|plans| plans.services.contains_key(service))
+}
--- a/crates/membership/src/check_in_answer.rs
+++ b/crates/membership/src/check_in_answer.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::CheckInRejection;
+
 /// The answer to a check-in: all units that the upstream is to hold, and for how long.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CheckInAnswer {
@@ -15,6 +17,9 @@
     pub hold: Option<Duration>,
     /// Id of the check-in.
     pub id: u64,
+    /// Reason why the check-in was rejected, `None` if it was accepted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rejection: Option<CheckInRejection>,
 }
 
 impl CheckInAnswer {
@@ -24,6 +29,15 @@
             granted: Vec::new(),
             hold: None,
             id,
+            rejection: None,
+        }
+    }
+
+    /// Returns the answer to a check-in that was rejected.
+    pub(crate) fn rejected(id: u64, rejection: CheckInRejection) -> Self {
+        Self {
+            rejection: Some(rejection),
+            ..Self::without_renewal(id)
         }
     }
 }
--- a/crates/membership/src/upstream_polled.rs
+++ b/crates/membership/src/upstream_polled.rs
@@ -5,30 +5,48 @@
 
 use cluster::UnitFence;
 use ids::Fence;
+use ids::ServiceId;
 use ids::Unit;
 
 use crate::CheckIn;
 use crate::CheckInAnswer;
+use crate::CheckInRejection;
 use crate::DesiredGrants;
 use crate::Upstream;
 use crate::times::HOLD_FRACTION;
 use crate::times::MAX_HOLD;
 
 impl Upstream {
-    /// Updates the upstream from a check-in. Returns `false` without a change if the check-in comes from an earlier instance
-    /// or is not newer than the last one.
-    pub(crate) fn record_check_in(&mut self, now: Duration, check_in: &CheckIn) -> bool {
+    /// Updates the upstream from a check-in. `is_declared` tells whether a manifest declares a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason when the check-in is rejected, and changes nothing.
+    pub(crate) fn record_check_in(
+        &mut self,
+        now: Duration,
+        check_in: &CheckIn,
+        is_declared: impl Fn(&ServiceId) -> bool,
+    ) -> Result<(), CheckInRejection> {
         let announcement = &check_in.announcement;
         let accepted = self.accepted.as_ref();
         let is_same = accepted.is_some_and(|accepted| accepted.is_same_process(announcement));
+        let has_same_service =
+            accepted.is_some_and(|accepted| accepted.service == announcement.service);
+        // A manifest may drop the service of an upstream that is still there.
+        let is_known = (is_same && has_same_service) || is_declared(&announcement.service);
+        if !is_known {
+            return Err(CheckInRejection::UndeclaredService);
+        }
         let is_older = if is_same {
             check_in.sequence <= self.last_check_in
         } else {
-            let started_unix_ms = announcement.started_unix_ms;
-            accepted.is_some_and(|accepted| started_unix_ms <= accepted.started_unix_ms)
+            // Any check-in is accepted before the first manifest. One of a declared service replaces it.
+            let valid = accepted.filter(|accepted| is_declared(&accepted.service));
+            valid.is_some_and(|valid| announcement.started_unix_ms <= valid.started_unix_ms)
         };
         if is_older {
-            return false;
+            return Err(CheckInRejection::Outdated);
         }
         let mut announcement = announcement.clone();
         if let Some(accepted) = accepted.filter(|_| is_same) {
@@ -44,7 +62,7 @@
         self.last_check_in = check_in.sequence;
         self.health.record_announcement(now);
         self.update_held(&check_in.held);
-        true
+        Ok(())
     }
 
     /// Replaces the units that the upstream holds by those that it reported. Units that were granted before and aren't
@@ -88,6 +106,7 @@
             granted: desired.missing(&BTreeMap::new(), true),
             hold: Some(hold),
             id,
+            rejection: None,
         }
     }
 }
--- a/crates/membership/tests/polled/main.rs
+++ b/crates/membership/tests/polled/main.rs
@@ -2,6 +2,7 @@
 
 mod evacuations;
 mod first_manifest;
+mod other_writers;
 mod process;
 mod rollouts;
 
--- a/crates/membership/tests/polled/process.rs
+++ b/crates/membership/tests/polled/process.rs
@@ -42,6 +42,17 @@
 
     /// Returns a process that has read the empty log and the declared manifest at `now`.
     pub(crate) fn started_at(now: Duration, shards_per_member: Option<u32>) -> Self {
+        let mut process = Self::without_manifest(now, shards_per_member);
+        process.declare_manifest();
+        process
+    }
+
+    /// Returns a process that has read the empty log and no manifest.
+    pub(crate) fn before_manifest() -> Self {
+        Self::without_manifest(Duration::from_secs(5), None)
+    }
+
+    fn without_manifest(now: Duration, shards_per_member: Option<u32>) -> Self {
         let peer: SocketAddr = "10.0.0.1:7000".parse().unwrap();
         let agent = Agent::new(AgentSettings {
             evacuation_timeout: Duration::from_secs(5),
@@ -68,11 +79,14 @@
             version: String::new(),
         };
         process.handle(Event::LogIdle);
-        process.handle(Event::Declared(OperatorDeclarations {
+        process
+    }
+
+    pub(crate) fn declare_manifest(&mut self) {
+        self.handle(Event::Declared(OperatorDeclarations {
             manifest: Some(Box::new(manifest())),
             ..OperatorDeclarations::default()
         }));
-        process
     }
 
     pub(crate) fn handle(&mut self, event: Event) {
@@ -118,22 +132,37 @@
         instance: u64,
         sequence: u64,
         held: Vec<UnitFence>,
+    ) -> CheckInAnswer {
+        self.check_in_as(self.announcement(instance), sequence, held)
+    }
+
+    /// Returns the announcement of an instance of the upstream.
+    pub(crate) fn announcement(&self, instance: u64) -> Announcement {
+        Announcement {
+            address: "10.0.0.1:9000".parse().unwrap(),
+            checks_grants: true,
+            connections: 10,
+            instance: format!("instance-{instance}"),
+            polls_grants: true,
+            service: "orders".to_owned(),
+            slots: 9,
+            started_unix_ms: instance,
+            version: self.version.clone(),
+        }
+    }
+
+    /// Advances the time by 900 ms, and checks in with an announcement.
+    pub(crate) fn check_in_as(
+        &mut self,
+        announcement: Announcement,
+        sequence: u64,
+        held: Vec<UnitFence>,
     ) -> CheckInAnswer {
         self.now += Duration::from_millis(900);
         self.handle(Event::LogIdle);
         self.handle(Event::Tick);
         self.handle(Event::CheckedIn(CheckIn {
-            announcement: Announcement {
-                address: "10.0.0.1:9000".parse().unwrap(),
-                checks_grants: true,
-                connections: 10,
-                instance: format!("instance-{instance}"),
-                polls_grants: true,
-                service: "orders".to_owned(),
-                slots: 9,
-                started_unix_ms: instance,
-                version: self.version.clone(),
-            },
+            announcement,
             draining: false,
             handovers: BTreeMap::new(),
             held,
--- a/crates/router/src/check_in_service.rs
+++ b/crates/router/src/check_in_service.rs
@@ -23,6 +23,7 @@
 use membership::Announcement;
 use membership::CheckIn;
 use membership::CheckInAnswer;
+use membership::CheckInRejection;
 use membership::Event;
 use serde_json::json;
 use telemetry::Dependency;
@@ -71,10 +72,7 @@
                 self.environment.build_response(None)
             }
             Ok(UpstreamMessage::CheckIn(check_in)) => self.handle_check_in(check_in).await,
-            Err(problem) => {
-                self.report_invalid(&problem);
-                json_response(StatusCode::BAD_REQUEST, &json!({ "error": problem }))
-            }
+            Err(problem) => self.refuse_invalid("invalid", &problem),
         }
     }
 
@@ -87,15 +85,16 @@
 }
 
 impl CheckInService {
-    /// Logs the problem of an invalid message, unless the last one had the same.
-    fn report_invalid(&self, problem: &str) {
-        self.shared.metrics.count_event("check-in", "invalid");
+    /// Refuses an invalid message, and logs its problem unless the last one had the same.
+    fn refuse_invalid(&self, reason: &str, problem: &str) -> Response<Bytes> {
+        self.shared.metrics.count_event("check-in", reason);
         let last = self.last_problem.lock();
         let mut last = last.unwrap_or_else(PoisonError::into_inner);
         if *last != problem {
             log::warn!("invalid check-in, which has no effect: {problem}");
             problem.clone_into(&mut last);
         }
+        json_response(StatusCode::BAD_REQUEST, &json!({ "error": problem }))
     }
 
     /// Records that the upstream has left or is about to leave. Only the accepted one gets requests.
@@ -133,14 +132,19 @@
         let held: BTreeSet<UnitFence> = agent_check_in.held.iter().cloned().collect();
         let answer = self.control.check_in(agent_check_in);
         let answered = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
-        let grants = answered
-            .ok()
-            .flatten()
-            .and_then(|answer| self.merge_grants(&service, &held, &answer));
-        let outcome = if grants.is_some() {
-            "granted"
-        } else {
-            "nothing"
+        let answer = answered.ok().flatten();
+        let rejection = answer.as_ref().and_then(|answer| answer.rejection);
+        if rejection == Some(CheckInRejection::UndeclaredService) {
+            let problem = format!(
+                "no manifest declares the service `{service}`: declare it, or correct the name"
+            );
+            return self.refuse_invalid(CheckInRejection::UndeclaredService.as_str(), &problem);
+        }
+        let grants = answer.and_then(|answer| self.merge_grants(&service, &held, &answer));
+        let outcome = match (rejection, &grants) {
+            (Some(rejection), _) => rejection.as_str(),
+            (None, Some(_)) => "granted",
+            (None, None) => "nothing",
         };
         self.shared.metrics.count_event("check-in", outcome);
         self.environment.build_response(grants.as_ref())
