cluster: let the units of a replaced member wait for its lease

Cause: a member that ended as Replaced handed its units on without a wait. That a new process has its VM or its peer address shows that the former process has stopped, and nothing about its upstream, which holds grants until the lease ends. Only a change of the version added the wait.

Change: units that are not kept by the same VM wait for the whole lease, whatever has changed: service, version, or the VM at a peer address. Units that stay with the VM have no wait, as before.

Test that failed before: units_that_a_replaced_member_does_not_keep_wait_ for_its_lease (cluster, witnesses), with waits of 0 ms for a join of another service and of another VM at the same peer address.

--- a/crates/cluster/src/fold_members.rs
+++ b/crates/cluster/src/fold_members.rs
@@ -19,7 +19,6 @@
 use crate::VersionRole;
 use crate::availability::check_base_version;
 use crate::roster::EndedMember;
-use crate::timing::full_wait_ms;
 use crate::units::Candidate;
 
 /// Maximum length of the name of a VM, zone, region or service, in bytes.
@@ -32,15 +31,8 @@
     pub(crate) fn join(&mut self, offset: Offset, join: Join) -> Result<Vec<Change>, String> {
         check_join(&join)?;
         let mut changes = Vec::new();
-        let former = self.roster.members().get(&join.vm).cloned();
         let retained = self.take_retained_units(&join);
-        let mut ended = self.roster.end_replaced(offset, &join);
-        if let Some(former) = former.filter(|former| former.join.version != join.version) {
-            // The former upstream may hold grants until the lease ends, unlike one whose units stay with the VM.
-            let wait_ms = full_wait_ms(former.join.lease_ms);
-            let ended = ended.iter_mut().filter(|ended| ended.vm == join.vm);
-            ended.for_each(|ended| ended.wait_ms = ended.wait_ms.max(wait_ms));
-        }
+        let ended = self.roster.end_replaced(offset, &join);
         self.reassign_units_of_ended(offset, ended, &mut changes);
         changes.push(Change::MemberJoined {
             incarnation: offset,
--- a/crates/cluster/src/roster.rs
+++ b/crates/cluster/src/roster.rs
@@ -108,7 +108,7 @@
         self.copy_witnesses(&vm);
     }
 
-    /// Ends the members whose VM or peer address a new process has, which shows that they have stopped.
+    /// Ends the members whose VM or peer address a new process has, which shows that their processes have stopped.
     pub(crate) fn end_replaced(&mut self, offset: Offset, join: &Join) -> Vec<EndedMember> {
         let replaced: Vec<VmId> = self
             .members
@@ -131,8 +131,9 @@
         reason: EndReason,
     ) -> Vec<EndedMember> {
         let wait_ms = match reason {
-            EndReason::DeclaredLost => self.full_wait_ms(vm),
-            EndReason::Left | EndReason::Lost | EndReason::Replaced => 0,
+            // The upstream may hold grants until the lease ends.
+            EndReason::DeclaredLost | EndReason::Replaced => self.full_wait_ms(vm),
+            EndReason::Left | EndReason::Lost => 0,
         };
         let mut ended = Vec::new();
         self.remove(
--- a/crates/cluster/tests/witnesses.rs
+++ b/crates/cluster/tests/witnesses.rs
@@ -7,10 +7,12 @@
 
 use cluster::Body;
 use cluster::DRIFT_MARGIN;
+use cluster::Join;
 use cluster::LEASE;
 use cluster::Outcome;
 use cluster::Quorum;
 use cluster::UnitFence;
+use ids::Unit;
 use support::Log;
 use support::join;
 use support::vm;
@@ -284,6 +286,57 @@
     );
 }
 
+/// Returns the waits of the units that `vm` owns and does not own any more after a record, by unit.
+fn waits_after(log: &mut Log, vm: &str, body: Body) -> BTreeMap<Unit, u64> {
+    let before: Vec<Unit> = log
+        .fleet
+        .units_of(vm)
+        .map(|(unit, _)| unit.clone())
+        .collect();
+    log.append_applied(body);
+    let waits = before.into_iter().filter_map(|unit| {
+        let owner = log.fleet.owner(&unit)?;
+        (owner.vm != vm).then_some((unit, owner.wait_ms))
+    });
+    waits.collect()
+}
+
+/// Guards against two upstreams that hold the same units: that of a replaced member may hold its grants until they expire.
+#[test]
+fn units_that_a_replaced_member_does_not_keep_wait_for_its_lease() {
+    let join = |change: fn(&mut Join)| {
+        let Body::Join(mut join) = join(0, "a") else {
+            panic!("a join");
+        };
+        change(&mut join);
+        Body::Join(join)
+    };
+    let replacements = [
+        ("service", join(|join| join.service = "other".to_owned())),
+        ("vm", join(|join| join.vm = vm(9))),
+    ];
+    for (changed, join) in replacements {
+        let mut log = Log::with_members(16, &["a", "b", "c"]);
+        let waits = waits_after(&mut log, &vm(0), join);
+        assert!(!waits.is_empty(), "{changed}");
+        let is_long = |wait_ms: &u64| *wait_ms == one_lease_ms();
+        assert!(waits.values().all(is_long), "{changed}: {waits:?}");
+    }
+}
+
+/// Guards against a pause of all keys of an upstream that has restarted.
+#[test]
+fn units_that_a_replaced_member_keeps_do_not_wait() {
+    let mut log = Log::with_members(16, &["a", "b", "c"]);
+    let waits = waits_after(&mut log, &vm(0), join(0, "a"));
+    assert!(waits.is_empty());
+    assert!(
+        log.fleet
+            .units_of(&vm(0))
+            .all(|(_, owner)| owner.wait_ms == 0)
+    );
+}
+
 #[test]
 fn the_last_member_of_a_region_has_no_witnesses() {
     let mut log = Log::with_members(16, &["a", "b"]);
