membership: keep the grants of an upstream until one elsewhere may have them

Cause: Upstream::record_check_in took any later process as proof that the former had ended. Only one at the same address is.

Change: a process at another address is rejected as former-holds-grants while the accepted one may hold any. The accepted one keeps its units as long as it renews them. A process at the same address is accepted at once, as before.

Tests that failed before: both of membership's polled/replacements.

--- a/crates/membership/src/upstream_polled.rs
+++ b/crates/membership/src/upstream_polled.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use cluster::DRIFT_MARGIN;
 use cluster::UnitFence;
 use ids::Fence;
 use ids::ServiceId;
 use ids::Unit;
 
+use crate::Announcement;
 use crate::CheckIn;
 use crate::CheckInAnswer;
 use crate::CheckInRejection;
@@ -48,6 +50,9 @@
         if is_older {
             return Err(CheckInRejection::Outdated);
         }
+        if !is_same && self.may_run_elsewhere(now, announcement) {
+            return Err(CheckInRejection::FormerHoldsGrants);
+        }
         let mut announcement = announcement.clone();
         if let Some(accepted) = accepted.filter(|_| is_same) {
             announcement.keep_version_of(accepted);
@@ -65,6 +70,15 @@
         Ok(())
     }
 
+    /// Reports whether the accepted process of the upstream may still run and hold grants beside one that announces itself.
+    ///
+    /// It has ended if the later one has its address.
+    fn may_run_elsewhere(&self, now: Duration, announcement: &Announcement) -> bool {
+        let accepted = self.accepted.as_ref();
+        let is_elsewhere = accepted.is_some_and(|former| former.address != announcement.address);
+        is_elsewhere && !self.held.is_empty() && now <= self.held_until + DRIFT_MARGIN
+    }
+
     /// Replaces the units that the upstream holds by those that it reported. Units that were granted before and aren't
     /// reported have been released.
     fn update_held(&mut self, held: &[UnitFence]) {
--- a/crates/membership/tests/polled/main.rs
+++ b/crates/membership/tests/polled/main.rs
@@ -4,6 +4,7 @@
 mod first_manifest;
 mod other_writers;
 mod process;
+mod replacements;
 mod rollouts;
 
 use cluster::Body;
