membership: count what an upstream holds from before a restart as held

Cause: the units that an upstream reports count as held until the latest expiry that this process has granted. After a restart there is none, so they counted as expired on arrival.

Change: at the first check-in that a process accepts, the upstream may hold what it reports for one lease. It ends earlier with a check-in that does not report the unit.

--- a/crates/membership/src/agent_check_in.rs
+++ b/crates/membership/src/agent_check_in.rs
@@ -25,12 +25,17 @@
     ) {
         let (log, declarations) = (&self.log, &self.declarations);
         let is_declared = |service: &ServiceId| is_declared(log.fleet(), declarations, service);
+        let is_first = self.upstream.accepted().is_none();
         let recorded = self.upstream.record_check_in(now, check_in, is_declared);
         if let Err(rejection) = recorded {
             let answer = CheckInAnswer::rejected(check_in.id, rejection);
             actions.push(Action::AnswerCheckIn(answer));
             return;
         }
+        if is_first {
+            // The upstream may hold grants of the process that ran before this one.
+            self.upstream.extend_held_until(now + self.cfg.lease);
+        }
         for (unit, handover) in &check_in.handovers {
             self.handovers.insert(unit.clone(), handover.clone());
         }
--- a/crates/membership/src/upstream_polled.rs
+++ b/crates/membership/src/upstream_polled.rs
@@ -79,6 +79,11 @@
         is_elsewhere && !self.held.is_empty() && now <= self.held_until + DRIFT_MARGIN
     }
 
+    /// Extends the time until which the upstream may hold grants.
+    pub(crate) fn extend_held_until(&mut self, until: Duration) {
+        self.held_until = self.held_until.max(until);
+    }
+
     /// Replaces the units that the upstream holds by those that it reported. Units that were granted before and aren't
     /// reported have been released.
     fn update_held(&mut self, held: &[UnitFence]) {
@@ -108,7 +113,7 @@
             return CheckInAnswer::without_renewal(id);
         };
         let hold = (end - now).mul_f64(HOLD_FRACTION).min(MAX_HOLD);
-        self.held_until = self.held_until.max(end);
+        self.extend_held_until(end);
         if self.confirmed != desired.units {
             self.confirmed.clone_from(&desired.units);
             self.revision += 1;
--- a/crates/membership/tests/polled/evacuations.rs
+++ b/crates/membership/tests/polled/evacuations.rs
@@ -82,3 +82,20 @@
     let answer = process.check_in(1, 10, granted.clone());
     assert_eq!(answer.granted, granted);
 }
+
+/// Guards against two upstreams that hold the same units: a process that has just started forgot that its upstream may hold
+/// grants of the former process.
+#[test]
+fn a_restarted_process_hands_over_no_unit_that_its_upstream_still_holds() {
+    let (process, granted) = process_beside_another_member();
+    let mut process = process.restart();
+    declare(&mut process, 10, &[ZONE]);
+    for sequence in 20..22 {
+        process.check_in(1, sequence, granted.clone());
+        let fleet = process.agent.fleet();
+        let moved = fleet.units_of("vm-2").count();
+        assert_eq!(moved, 0, "at check-in {sequence}");
+    }
+    process.check_in(1, 22, Vec::new());
+    assert_eq!(process.agent.fleet().units_of("vm-1").count(), 0);
+}
--- a/crates/membership/tests/polled/process.rs
+++ b/crates/membership/tests/polled/process.rs
@@ -27,6 +27,8 @@
 pub(crate) struct Process {
     pub(crate) agent: Agent,
     answers: Vec<CheckInAnswer>,
+    /// All records of the log, with their offsets.
+    log: Vec<(u64, String)>,
     pub(crate) now: Duration,
     pub(crate) offset: u64,
     /// Whether records of zones that the process appends are lost.
@@ -73,6 +75,7 @@
         let mut process = Self {
             agent,
             answers: Vec::new(),
+            log: Vec::new(),
             now,
             offset: 1,
             loses_zone_records: false,
@@ -82,6 +85,19 @@
         process
     }
 
+    /// Returns the process that starts in place of this one, and has read the log and the declared manifest.
+    pub(crate) fn restart(self) -> Self {
+        let mut process = Self::without_manifest(self.now, None);
+        process.log = self.log;
+        process.offset = self.offset;
+        process.handle(Event::Records {
+            next: process.offset,
+            records: process.log.clone(),
+        });
+        process.declare_manifest();
+        process
+    }
+
     pub(crate) fn declare_manifest(&mut self) {
         self.handle(Event::Declared(OperatorDeclarations {
             manifest: Some(Box::new(manifest())),
@@ -119,7 +135,8 @@
             self.offset += 1;
             (offset, text)
         });
-        let records = texts.collect();
+        let records: Vec<_> = texts.collect();
+        self.log.extend(records.iter().cloned());
         Event::Records {
             next: self.offset,
             records,
