router: apply what a check-in states only once it is accepted

Cause: CheckInService recorded the cold time before the agent had compared the check-in with the accepted process, and any other process counted as a new one.

Change: the agent requests the update of the home by the action RecordUpstreamState, before all else that follows from an accepted check-in. A stop that a check-in states is recorded for its own process when the check-in is acknowledged, so not for one that is answered 400.

New with the action: only_accepted_check_ins_report_the_state_ of_the_upstream (membership).

--- a/crates/membership/src/action.rs
+++ b/crates/membership/src/action.rs
@@ -16,6 +16,7 @@
 use crate::Grant;
 use crate::Heartbeat;
 use crate::HeartbeatAnswer;
+use crate::UpstreamProcess;
 
 /// An action that an agent requests from its process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -57,6 +58,14 @@
         /// The peer.
         peer: VmId,
     },
+    /// Records the state that an accepted check-in of the local upstream reports. Comes before all other actions that follow
+    /// from the check-in.
+    RecordUpstreamState {
+        /// Process that checked in.
+        process: UpstreamProcess,
+        /// Time for which the upstream remains cold.
+        warm_up_left: Duration,
+    },
     /// Repeats the read of the declarations of operators that waits for changes, because it has not returned some that are
     /// known to exist.
     RepeatDeclarationReads,
--- a/crates/membership/src/agent_check_in.rs
+++ b/crates/membership/src/agent_check_in.rs
@@ -32,6 +32,10 @@
             actions.push(Action::AnswerCheckIn(answer));
             return;
         }
+        actions.push(Action::RecordUpstreamState {
+            process: check_in.announcement.process(),
+            warm_up_left: check_in.warm_up_left,
+        });
         if is_first {
             // The upstream may hold grants of the process that ran before this one.
             self.upstream.extend_held_until(now + self.cfg.lease);
--- a/crates/membership/src/check_in.rs
+++ b/crates/membership/src/check_in.rs
@@ -1,6 +1,7 @@
 //! A check-in of an upstream that polls its grants.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use cluster::UnitFence;
 use ids::Unit;
@@ -25,4 +26,7 @@
     pub id: u64,
     /// Number of the check-in, increasing until the upstream restarts.
     pub sequence: u64,
+    /// Time for which the upstream remains cold.
+    #[serde(default)]
+    pub warm_up_left: Duration,
 }
--- a/crates/membership/tests/polled/other_writers.rs
+++ b/crates/membership/tests/polled/other_writers.rs
@@ -50,6 +50,19 @@
     process.check_in_until_granted(5, 1);
 }
 
+/// Guards against a cold upstream that gets its full load, because a check-in of a former process stated that it is warm.
+#[test]
+fn only_accepted_check_ins_report_the_state_of_the_upstream() {
+    let mut process = Process::new();
+    process.check_in(5, 2, Vec::new());
+    let undeclared = of_undeclared_service(&process, 9);
+    process.check_in_as(undeclared, 1, Vec::new());
+    process.check_in(4, 100, Vec::new());
+    process.check_in(5, 1, Vec::new());
+    process.check_in(6, 1, Vec::new());
+    assert_eq!(process.recorded_instances, ["instance-5", "instance-6"]);
+}
+
 /// Guards against an upstream that can't announce its stop because a manifest no longer declares its service.
 #[test]
 fn an_upstream_whose_service_is_no_longer_declared_checks_in_further() {
--- a/crates/membership/tests/polled/process.rs
+++ b/crates/membership/tests/polled/process.rs
@@ -31,6 +31,8 @@
     log: Vec<(u64, String)>,
     pub(crate) now: Duration,
     pub(crate) offset: u64,
+    /// Instances of the upstream whose state the home was told, in order.
+    pub(crate) recorded_instances: Vec<String>,
     /// Whether records of zones that the process appends are lost.
     pub(crate) loses_zone_records: bool,
     /// Version that the upstream states.
@@ -78,6 +80,7 @@
             log: Vec::new(),
             now,
             offset: 1,
+            recorded_instances: Vec::new(),
             loses_zone_records: false,
             version: String::new(),
         };
@@ -117,6 +120,9 @@
                         ..
                     }) if self.loses_zone_records => {}
                     Action::Append(record) => appended.push(record),
+                    Action::RecordUpstreamState { process, .. } => {
+                        self.recorded_instances.push(process.instance);
+                    }
                     _ => {}
                 }
             }
@@ -185,6 +191,7 @@
             held,
             id: sequence,
             sequence,
+            warm_up_left: Duration::ZERO,
         }));
         self.handle(Event::Tick);
         self.answers.pop().expect("every check-in is answered")
--- a/crates/router/src/check_in_service.rs
+++ b/crates/router/src/check_in_service.rs
@@ -116,19 +116,13 @@
 
     async fn handle_check_in(&self, check_in: UpstreamCheckIn) -> Response<Bytes> {
         let service = check_in.service.clone();
-        self.shared
-            .record_dependency_answer(Dependency::Upstream, "");
-        let (draining, warm_up_left) = (check_in.draining, check_in.warm_up_left);
         let mut agent_check_in = self.build_check_in(check_in);
         let process = agent_check_in.announcement.process();
-        self.home.record_cold_time(&process, warm_up_left);
         let departed_at = self.departures.time_of(&process);
-        let stopping_since = departed_at.or(draining.then(|| self.shared.clock.now()));
-        if let Some(since) = stopping_since {
-            self.home.record_stopping(process.clone(), since);
-        }
+        let arrived_at = self.shared.clock.now();
+        let stopping_since = departed_at.or(agent_check_in.draining.then_some(arrived_at));
         // A check-in that was sent before the upstream announced its stop elsewhere may arrive later.
-        agent_check_in.draining |= self.home.is_stopping(&process);
+        agent_check_in.draining |= stopping_since.is_some() || self.home.is_stopping(&process);
         let held: BTreeSet<UnitFence> = agent_check_in.held.iter().cloned().collect();
         let answer = self.control.check_in(agent_check_in);
         let answered = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
@@ -140,6 +134,14 @@
             );
             return self.refuse_invalid(CheckInRejection::UndeclaredService.as_str(), &problem);
         }
+        // The response acknowledges the stop of this process of the upstream, whether or not it is the accepted one.
+        if let Some(since) = stopping_since {
+            self.home.record_stopping(process, since);
+        }
+        if rejection.is_none() {
+            let shared = &self.shared;
+            shared.record_dependency_answer(Dependency::Upstream, "");
+        }
         let grants = answer.and_then(|answer| self.merge_grants(&service, &held, &answer));
         let outcome = match (rejection, &grants) {
             (Some(rejection), _) => rejection.as_str(),
@@ -178,6 +180,7 @@
             held,
             id: self.next_id.fetch_add(1, Ordering::Relaxed),
             sequence: check_in.sequence,
+            warm_up_left: check_in.warm_up_left,
         }
     }
 
--- a/crates/router/src/control/control_loop.rs
+++ b/crates/router/src/control/control_loop.rs
@@ -347,6 +347,10 @@
                 from,
                 peer,
             } => self.parts.peer_client.pull(peer, address, from),
+            Action::RecordUpstreamState {
+                process,
+                warm_up_left,
+            } => self.parts.home.record_cold_time(&process, warm_up_left),
             Action::RepeatDeclarationReads => {
                 let reads = self.parts.declaration_reads.iter();
                 reads.for_each(|reads| reads.repeat());
