home: remember the requests of a unit that it begins anew

Cause: the home forgot all requests of a unit whenever the unit got a new fence, also where the same process had it before: after a restart of its server, or when the unit had moved away and came back. An entry whose link had broken asked for the outcome later; the home did not know the request, barred it, and the entry took that for not run.

Change: the requests that a home has run stay known until they expire or are acknowledged, whoever owned the unit in between. A handover is merged with them: ids of the same request or key are joined, and the record that runs or has an answer stays. What ran elsewhere without a handover is still unknown since the beginning of the ownership.

The random model of idempotency keys now returns units to former owners.

--- a/crates/policy/src/ownership_times.rs
+++ b/crates/policy/src/ownership_times.rs
@@ -26,10 +26,6 @@
         self.since.insert(unit, since);
     }
 
-    pub(crate) fn end(&mut self, unit: &Unit) {
-        self.since.remove(unit);
-    }
-
     /// Returns the time since which the unit is owned, or `u64::MAX` if it is not owned.
     ///
     /// Returns the start of the process for requests without a unit.
--- a/crates/policy/src/request_memory.rs
+++ b/crates/policy/src/request_memory.rs
@@ -1,5 +1,6 @@
 //! Memory of the requests that a home has run or runs.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use ids::RequestId;
@@ -58,23 +59,16 @@
         }
     }
 
-    /// Records that the home owns `unit` since `unix_ms`, without knowledge of earlier requests.
+    /// Records that the home owns `unit` since `unix_ms`, without knowledge of requests that ran elsewhere before.
+    ///
+    /// Requests that ran here while it owned the unit earlier stay known.
     pub fn add_unit(&mut self, unit: Unit, unix_ms: u64) {
         self.ownership.begin(unit, unix_ms);
     }
 
-    /// Records that the home no longer owns `unit`, and forgets its requests.
-    pub fn remove_unit(&mut self, unit: &Unit) {
-        self.ownership.end(unit);
-        for number in self.records.of_unit(unit) {
-            self.records.remove(number);
-        }
-    }
-
     /// Returns the requests of `unit`, to be sent to the next owner in a planned move.
     ///
-    /// Call it when no request of the unit runs; one that still runs is exported as lost. Then call
-    /// [`RequestMemory::remove_unit`].
+    /// Call it when no request of the unit runs; one that still runs is exported as lost.
     pub fn export(&self, now: Duration, unit: &Unit) -> ExportedMemory<A> {
         let keep_key = self.bounds.keep_key;
         ExportedMemory {
@@ -89,13 +83,28 @@
     }
 
     /// Imports the requests that the previous owner of `unit` exported, even beyond the bounds.
+    ///
+    /// Requests that ran here while the home owned the unit earlier stay known.
     pub fn import(&mut self, now: Duration, unit: &Unit, memory: ExportedMemory<A>) {
-        self.remove_unit(unit);
         self.add_unit(unit.clone(), memory.owned_since_unix_ms);
         for request in memory.requests {
-            let record = RequestRecord::import(now, unit, request);
-            self.records.insert(record);
+            self.import_record(RequestRecord::import(now, unit, request));
+        }
+    }
+
+    /// Adds a record, merged with those of this home that share an id or the key with it.
+    fn import_record(&mut self, mut record: RequestRecord<A>) {
+        let by_key = record.key.as_ref().map(|(key, _)| key);
+        let by_key = by_key.and_then(|key| self.records.by_key(key));
+        let by_id = record.ids.iter().filter_map(|id| self.records.by_id(id));
+        let known: BTreeSet<RecordNumber> = by_id.chain(by_key).collect();
+        for known in known
+            .into_iter()
+            .filter_map(|known| self.records.remove(known))
+        {
+            record.merge(known);
         }
+        self.records.insert(record);
     }
 
     /// Decides whether a request runs, and records it if so; `unix_ms` is the time of the wall clock.
--- a/crates/policy/src/request_record.rs
+++ b/crates/policy/src/request_record.rs
@@ -46,6 +46,25 @@
         }
     }
 
+    /// Takes over the ids of another record of the same request, and its state if that tells more.
+    pub(crate) fn merge(&mut self, other: Self) {
+        self.key = self.key.take().or(other.key);
+        let is_running = matches!(other.state, RequestState::Running);
+        let mut ids = other.ids;
+        if is_running {
+            // The first id is the one under which the request runs.
+            std::mem::swap(&mut self.ids, &mut ids);
+        }
+        ids.retain(|id| !self.ids.contains(id));
+        self.ids.append(&mut ids);
+        let is_answered = matches!(other.state, RequestState::Answered(_));
+        if is_running || (is_answered && !matches!(self.state, RequestState::Answered(_))) {
+            self.answer_bytes = other.answer_bytes;
+            self.expires_at = other.expires_at;
+            self.state = other.state;
+        }
+    }
+
     pub(crate) fn import(now: Duration, unit: &Unit, request: ExportedRequest<A>) -> Self {
         Self {
             answer_bytes: request.answer_bytes,
--- a/crates/policy/tests/at_most_once.rs
+++ b/crates/policy/tests/at_most_once.rs
@@ -18,43 +18,63 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+/// A home, which may own the unit several times.
+struct Home {
+    /// Error of its wall clock, in milliseconds.
+    clock_error_ms: i64,
+    memory: Memory,
+}
+
 /// Homes that own one unit one after another, and callers that repeat idempotency keys.
 struct Homes {
     bounds: MemoryBounds,
-    /// Error of the current owner's wall clock, in milliseconds.
-    clock_error_ms: i64,
-    memory: Memory,
     now: Duration,
+    /// The owner.
+    owner: Home,
+    /// A former owner that still runs.
+    former: Option<Home>,
     rng: SmallRng,
     /// Whether the beginning of ownership is unknown after the previous owner was lost.
     ownership_start_unknown: bool,
 }
 
 impl Homes {
+    fn true_ms(&self) -> u64 {
+        START_UNIX_MS + self.now.as_millis() as u64
+    }
+
     fn unix_ms(&self) -> u64 {
-        let true_ms = START_UNIX_MS + self.now.as_millis() as u64;
-        true_ms.saturating_add_signed(self.clock_error_ms)
+        self.true_ms()
+            .saturating_add_signed(self.owner.clock_error_ms)
     }
 
-    fn next_owner(&mut self) -> Memory {
-        self.clock_error_ms = self.rng.random_range(-500..=500);
-        Memory::new(self.bounds, self.unix_ms())
+    /// Makes a new home or the former owner the owner. The present one goes on running or ends.
+    fn change_owner(&mut self) {
+        let clock_error_ms = self.rng.random_range(-500..=500);
+        let started = self.true_ms().saturating_add_signed(clock_error_ms);
+        let new = Home {
+            clock_error_ms,
+            memory: Memory::new(self.bounds, started),
+        };
+        let next = self.former.take().unwrap_or(new);
+        let former = std::mem::replace(&mut self.owner, next);
+        self.former = self.rng.random_bool(0.5).then_some(former);
     }
 
     fn move_unit(&mut self) {
-        let exported = self.memory.export(self.now, &unit());
-        self.memory = self.next_owner();
-        self.memory.import(self.now, &unit(), exported);
+        let exported = self.owner.memory.export(self.now, &unit());
+        self.change_owner();
+        self.owner.memory.import(self.now, &unit(), exported);
     }
 
     fn lose_owner(&mut self) {
-        self.memory = self.next_owner();
+        self.change_owner();
         let since = if self.ownership_start_unknown {
             0
         } else {
             self.unix_ms()
         };
-        self.memory.add_unit(unit(), since);
+        self.owner.memory.add_unit(unit(), since);
     }
 
     /// Returns the largest number of times that requests with the same key ran.
@@ -66,9 +86,12 @@
         };
         let mut homes = Self {
             bounds,
-            clock_error_ms: 0,
-            memory: memory(bounds),
             now: Duration::from_secs(1),
+            owner: Home {
+                clock_error_ms: 0,
+                memory: memory(bounds),
+            },
+            former: None,
             rng: SmallRng::seed_from_u64(seed),
             ownership_start_unknown,
         };
@@ -81,7 +104,7 @@
                 2..5 => homes.move_unit(),
                 5..40 => {
                     let error_ms = homes.rng.random_range(-3_000..=3_000);
-                    let true_ms = START_UNIX_MS + homes.now.as_millis() as u64;
+                    let true_ms = homes.true_ms();
                     keys.push(key(true_ms.saturating_add_signed(error_ms), step));
                 }
                 _ => {}
@@ -104,19 +127,21 @@
         let chosen = &keys[keys.len() - 1 - self.rng.random_range(0..recent)];
         let id = format!("r{step}");
         let request = request(&id, Some(chosen.clone()), "same");
-        if self.memory.begin(self.now, self.unix_ms(), request) != BeginDecision::Run {
+        let (now, unix_ms) = (self.now, self.unix_ms());
+        let memory = &mut self.owner.memory;
+        if memory.begin(now, unix_ms, request) != BeginDecision::Run {
             return;
         }
         match self.rng.random_range(0..4) {
             0 => {
-                self.memory.record_not_run(&id);
+                memory.record_not_run(&id);
                 return;
             }
-            1 => drop(self.memory.record_lost(self.now, &id)),
-            _ => drop(self.memory.record_answer(self.now, &id, String::new(), 0)),
+            1 => drop(memory.record_lost(now, &id)),
+            _ => drop(memory.record_answer(now, &id, String::new(), 0)),
         }
         *runs.entry(chosen.clone()).or_default() += 1;
-        self.memory.acknowledge(&id);
+        memory.acknowledge(&id);
     }
 }
 
--- a/crates/policy/tests/memory.rs
+++ b/crates/policy/tests/memory.rs
@@ -9,6 +9,7 @@
 use keyed::key;
 use keyed::memory;
 use keyed::request;
+use keyed::unit;
 use policy::BeginDecision;
 use policy::IdempotencyKey;
 use policy::MemoryBounds;
@@ -202,3 +203,58 @@
         (BeginDecision::Full, BeginDecision::Run)
     );
 }
+
+/// Guards against requests that ran and are called not run, because their home owned the unit again in the meantime.
+#[test]
+fn requests_stay_known_when_their_unit_is_owned_again() {
+    let bounds = MemoryBounds::default();
+    let now = Duration::from_secs(1);
+    let mut memory = memory(bounds);
+    for id in ["running", "answered", "lost"] {
+        memory.begin(now, START_UNIX_MS, request(id, None, ""));
+    }
+    memory.record_answer(now, "answered", "done".to_owned(), 4);
+    memory.record_lost(now, "lost");
+    let mut next_owner = Memory::new(bounds, START_UNIX_MS);
+    next_owner.import(now, &unit(), memory.export(now, &unit()));
+    memory.add_unit(unit(), START_UNIX_MS + 1_000);
+    memory.import(now, &unit(), next_owner.export(now, &unit()));
+    let statuses = ["running", "answered", "lost"].map(|id| memory.query_or_bar(now, id));
+    let answered = StatusReply::Answered("done".to_owned());
+    assert_eq!(
+        statuses,
+        [StatusReply::Running, answered.clone(), StatusReply::Lost]
+    );
+    memory.import(
+        now,
+        &unit(),
+        Memory::new(bounds, START_UNIX_MS).export(now, &unit()),
+    );
+    assert_eq!(memory.query_or_bar(now, "answered"), answered);
+    memory.record_answer(now, "running", "late".to_owned(), 4);
+    assert_eq!(
+        memory.query_or_bar(now, "running"),
+        StatusReply::Answered("late".to_owned())
+    );
+}
+
+/// Guards against a repetition of a key that is no longer known under the ids that wait for its run.
+#[test]
+fn ids_that_wait_for_a_run_are_kept_with_an_imported_record_of_its_key() {
+    let bounds = MemoryBounds::default();
+    let now = Duration::from_secs(1);
+    let unix_ms = START_UNIX_MS + 1_000;
+    let first = key(START_UNIX_MS, 1);
+    let mut memory = memory(bounds);
+    memory.begin(now, unix_ms, request("r1", Some(first.clone()), "one"));
+    let exported = memory.export(now, &unit());
+    memory.begin(now, unix_ms, request("r2", Some(first.clone()), "one"));
+    memory.import(now, &unit(), exported);
+    let repeated = memory.begin(now, unix_ms, request("r3", Some(first), "one"));
+    let running = BeginDecision::AlreadyRunning {
+        first: "r1".to_owned(),
+    };
+    assert_eq!(repeated, running);
+    let waiting = memory.record_answer(now, "r1", "done".to_owned(), 4);
+    assert_eq!(waiting, ["r1", "r2", "r3"]);
+}
--- a/crates/router/src/home/home_state.rs
+++ b/crates/router/src/home/home_state.rs
@@ -259,7 +259,6 @@
         if !self.units.record_fence(unit, fence) {
             return;
         }
-        self.memory.remove_unit(unit);
         match handovers.take(unit, fence) {
             Some(HandoverContents::Requests(memory)) => self.memory.import(now, unit, memory),
             Some(HandoverContents::Bucket(_)) | None => {
