home: do not call a request not run that may have been forgotten

An entry that asked later, for instance after a freeze and with a long timeout, was told that the request had not run.

Cause: the home's answer for a request that it does not know had one meaning for two cases, never seen and not known any more.

Change: the home states how long it remembers requests after their end. The entry takes an unknown request for not run only if it was sent less time ago, counted until the answer arrives, so that delays of the query and freezes of either process count too. Otherwise the outcome is unknown. A home of an earlier version states no time, so its answer is unknown too.

Test: a_request_that_may_have_been_forgotten_is_not_called_not_run (policy); before, the entry had no age to compare and called it not run.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! never sleep, send or read a clock. A time is the [`Duration`](std::time::Duration) since the start
 //! of the process.
 
+mod absence;
 mod adaptive_concurrency_limiter;
 mod admission;
 mod admitted_request;
@@ -123,6 +124,7 @@
 mod warm_up_ramp;
 mod workspace_queue;
 
+pub use absence::absent_outcome;
 pub use adaptive_concurrency_limiter::AdaptiveConcurrencyLimiter;
 pub use admission::Admission;
 pub use admitted_request::AdmittedRequest;
--- a/crates/policy/src/request_memory.rs
+++ b/crates/policy/src/request_memory.rs
@@ -174,7 +174,13 @@
         record.map(|record| record.ids).unwrap_or_default()
     }
 
-    /// Returns the outcome of a request, and bars the request from running if it has not arrived.
+    /// Returns the time after the end of a request before which it is not forgotten, unless its entry acknowledges it.
+    pub fn remembered_for(&self) -> Duration {
+        self.bounds.keep_answer
+    }
+
+    /// Returns the outcome of a request, and bars the request from running if it is not known. Such a request has not run, unless
+    /// it was forgotten ([`absent_outcome`](crate::absent_outcome)).
     pub fn query_or_bar(&mut self, now: Duration, id: &str) -> StatusReply<A> {
         self.records.expire(now);
         if let Some(number) = self.records.by_id(id) {
--- a/crates/policy/src/status_reply.rs
+++ b/crates/policy/src/status_reply.rs
@@ -9,7 +9,7 @@
     Full,
     /// It cannot be known whether the request ran.
     Lost,
-    /// The home has not run the request and never will.
+    /// The home does not know the request and will never run it.
     Barred,
     /// The request runs or waits to run.
     Running,
--- a/crates/policy/tests/memory.rs
+++ b/crates/policy/tests/memory.rs
@@ -14,7 +14,9 @@
 use policy::IdempotencyKey;
 use policy::MemoryBounds;
 use policy::NewRequest;
+use policy::Outcome;
 use policy::StatusReply;
+use policy::absent_outcome;
 
 #[test]
 fn decisions_about_repeated_requests() {
@@ -258,3 +260,34 @@
     let waiting = memory.record_answer(now, "r1", "done".to_owned(), 4);
     assert_eq!(waiting, ["r1", "r2", "r3"]);
 }
+
+/// Guards against requests that ran and are called not run, because their record has expired.
+#[test]
+fn a_request_that_may_have_been_forgotten_is_not_called_not_run() {
+    let remembered_for = memory(MemoryBounds::default()).remembered_for();
+    for (run_ms, query_ms) in [
+        (0, 0),
+        (0, 9_999),
+        (0, 10_000),
+        (900, 10_500),
+        (900, 60_000),
+    ] {
+        let mut memory = memory(MemoryBounds::default());
+        let (ended, queried) = (
+            Duration::from_millis(run_ms),
+            Duration::from_millis(query_ms),
+        );
+        memory.begin(Duration::ZERO, START_UNIX_MS, request("ran", None, ""));
+        memory.record_answer(ended, "ran", "done".to_owned(), 4);
+        memory.expire(queried);
+        if memory.query_or_bar(queried, "ran") == StatusReply::Barred {
+            assert_eq!(absent_outcome(queried, remembered_for), Outcome::Unknown);
+        }
+        assert_eq!(
+            memory.query_or_bar(queried, "never-seen"),
+            StatusReply::Barred
+        );
+    }
+    let recent = remembered_for - Duration::from_millis(1);
+    assert_eq!(absent_outcome(recent, remembered_for), Outcome::NotRun);
+}
--- a/crates/router/src/entry/home_client.rs
+++ b/crates/router/src/entry/home_client.rs
@@ -109,8 +109,16 @@
             Err(CallError::TooLarge { .. }) => not_run(&request_id, Reason::BodyTooLarge),
             Err(CallError::NotSent) => not_run(&request_id, Reason::OwnerUnreachable),
             Err(CallError::Unknown) => {
-                self.query_outcome(link, target, &request_id, deadline)
-                    .await
+                let query = OutcomeQuery {
+                    deadline,
+                    links: &self.links,
+                    incarnation: link.peer().incarnation,
+                    request_id: &request_id,
+                    sent_at: sent,
+                    shared: &self.shared,
+                    target,
+                };
+                self.query_outcome(query).await
             }
         };
         cancellation.disarm();
@@ -118,22 +126,8 @@
     }
 
     /// Queries the home for the outcome of a request whose answer did not arrive.
-    async fn query_outcome(
-        &self,
-        link: &Link,
-        target: &Target,
-        request_id: &str,
-        deadline: Duration,
-    ) -> Reply {
-        self.links.discard(&target.vm).await;
-        let query = OutcomeQuery {
-            deadline,
-            links: &self.links,
-            incarnation: link.peer().incarnation,
-            request_id,
-            shared: &self.shared,
-            target,
-        };
+    async fn query_outcome(&self, query: OutcomeQuery<'_>) -> Reply {
+        self.links.discard(&query.target.vm).await;
         let reply = query.run().await;
         let reason = match &reply {
             Reply::Answer(_) => "answered",
@@ -141,8 +135,8 @@
         };
         self.record_details(
             Step::Resolved,
-            request_id,
-            target,
+            query.request_id,
+            query.target,
             reason,
             DecisionDetails::default(),
         );
--- a/crates/router/src/entry/outcome_query.rs
+++ b/crates/router/src/entry/outcome_query.rs
@@ -5,6 +5,8 @@
 use policy::Outcome;
 use policy::Reason;
 use policy::Statement;
+use policy::absent_outcome;
+use wire::Barred;
 use wire::RequestStatus;
 use wire::StatusQuery;
 
@@ -28,6 +30,8 @@
     /// Incarnation of the process that the request was sent to, the only one that remembers the outcome.
     pub(crate) incarnation: u64,
     pub(crate) request_id: &'a str,
+    /// Time before the request was sent.
+    pub(crate) sent_at: Duration,
     pub(crate) shared: &'a Shared,
     pub(crate) target: &'a Target,
 }
@@ -63,7 +67,7 @@
         };
         match link.query_status(query, QUERY_TIMEOUT).await {
             Ok(RequestStatus::Answer(answer)) => Some(Reply::Answer(answer)),
-            Ok(RequestStatus::Barred) => Some(not_run(self.request_id, Reason::OwnerUnreachable)),
+            Ok(RequestStatus::Barred(barred)) => Some(self.absent_outcome(barred)),
             Ok(RequestStatus::NotOwner(_)) => Some(self.unknown_outcome()),
             Ok(RequestStatus::Refused(refused)) => Some(Reply::Statement(decode_statement(
                 self.request_id,
@@ -77,6 +81,15 @@
         }
     }
 
+    fn absent_outcome(&self, barred: Barred) -> Reply {
+        let sent_ago = self.shared.clock.now().saturating_sub(self.sent_at);
+        let remembered_for = Duration::from_millis(barred.remembered_for_ms);
+        match absent_outcome(sent_ago, remembered_for) {
+            Outcome::NotRun => not_run(self.request_id, Reason::OwnerUnreachable),
+            Outcome::Unknown => self.unknown_outcome(),
+        }
+    }
+
     fn unknown_outcome(&self) -> Reply {
         let request_id = self.request_id.to_owned();
         let is_deadline_passed = self.shared.clock.now() >= self.deadline;
--- a/crates/router/src/home/home_service.rs
+++ b/crates/router/src/home/home_service.rs
@@ -36,6 +36,7 @@
 use telemetry::Step;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
+use wire::Barred;
 use wire::Dispatch;
 use wire::NotOwner;
 use wire::Outcome;
@@ -367,7 +368,7 @@
         HandoverState::requests(fence, memory)
     }
 
-    /// Returns the status of a request. A request that has not arrived is barred from running later.
+    /// Returns the status of a request. A request that is not known is barred from running later.
     pub(crate) fn query_request(&self, query: &StatusQuery) -> RequestStatus {
         let now = self.shared.clock.now();
         let unknown = |reason| {
@@ -378,11 +379,17 @@
                 load: None,
             })
         };
-        match self.lock().memory.query_or_bar(now, &query.request_id) {
+        let mut state = self.lock();
+        match state.memory.query_or_bar(now, &query.request_id) {
             StatusReply::Answered(answer) => RequestStatus::Answer(answer.0),
             StatusReply::Full => unknown(Reason::Overloaded),
             StatusReply::Lost => unknown(Reason::UpstreamSilent),
-            StatusReply::Barred => RequestStatus::Barred,
+            StatusReply::Barred => {
+                let remembered_for = state.memory.remembered_for().as_millis();
+                RequestStatus::Barred(Barred {
+                    remembered_for_ms: u64::try_from(remembered_for).unwrap_or(u64::MAX),
+                })
+            }
             StatusReply::Running => RequestStatus::Running,
         }
     }
--- a/crates/wire/src/message/request_status.rs
+++ b/crates/wire/src/message/request_status.rs
@@ -12,8 +12,8 @@
 pub enum RequestStatus {
     /// The request ran, and this is its answer.
     Answer(Answer),
-    /// The request has not run and will never run.
-    Barred,
+    /// The home does not know the request, and will never run it.
+    Barred(Barred),
     /// The home does not own the unit and does not know the status.
     NotOwner(NotOwner),
     /// The request was refused.
@@ -26,7 +26,7 @@
     fn from(status: RequestStatus) -> Self {
         match status {
             RequestStatus::Answer(answer) => Self::Answer(answer),
-            RequestStatus::Barred => Self::Barred(Barred {}),
+            RequestStatus::Barred(barred) => Self::Barred(barred),
             RequestStatus::NotOwner(not_owner) => Self::NotOwner(not_owner),
             RequestStatus::Refused(refused) => Self::Refused(refused),
             RequestStatus::Running => Self::Running(Running {}),
@@ -40,7 +40,7 @@
     fn try_from(reply: Reply) -> Result<Self, Reply> {
         match reply {
             Reply::Answer(answer) => Ok(Self::Answer(answer)),
-            Reply::Barred(_) => Ok(Self::Barred),
+            Reply::Barred(barred) => Ok(Self::Barred(barred)),
             Reply::NotOwner(not_owner) => Ok(Self::NotOwner(not_owner)),
             Reply::Refused(refused) => Ok(Self::Refused(refused)),
             Reply::Running(_) => Ok(Self::Running),
--- a/crates/wire/tests/wire/link.rs
+++ b/crates/wire/tests/wire/link.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use wire::Acknowledge;
 use wire::Answer;
+use wire::Barred;
 use wire::Call;
 use wire::CallError;
 use wire::Cancel;
@@ -67,7 +68,9 @@
     };
     let serve_left = async {
         let (_, responder) = next_call(&mut left_incoming).await;
-        responder.reply(RequestStatus::Barred).unwrap();
+        responder
+            .reply(RequestStatus::Barred(Barred::default()))
+            .unwrap();
     };
     let (first, second, request_status, (), ()) = tokio::join!(
         left.dispatch(dispatch("first"), LONG_TIMEOUT),
@@ -81,7 +84,7 @@
         other => panic!("{other:?}"),
     };
     assert_eq!((status(first), status(second)), (201, 202));
-    assert_eq!(request_status, Ok(RequestStatus::Barred));
+    assert_eq!(request_status, Ok(RequestStatus::Barred(Barred::default())));
 }
 
 #[tokio::test]
@@ -174,7 +177,7 @@
     let (outcome, responder) = tokio::join!(left.dispatch(dispatch("2"), LONG_TIMEOUT), close);
     assert_eq!(outcome, Err(CallError::Unknown));
     assert_eq!(
-        responder.reply(RequestStatus::Barred),
+        responder.reply(RequestStatus::Barred(Barred::default())),
         Err(CallError::NotSent)
     );
 }
@@ -200,14 +203,16 @@
     let second = async {
         let (_, responder) = next_call(&mut incoming).await;
         let outcome = left.dispatch(dispatch("2"), LONG_TIMEOUT).await;
-        responder.reply(RequestStatus::Barred).unwrap();
+        responder
+            .reply(RequestStatus::Barred(Barred::default()))
+            .unwrap();
         outcome
     };
     let (first, second) = tokio::join!(
         left.query_status(StatusQuery::default(), LONG_TIMEOUT),
         second
     );
-    assert_eq!(first, Ok(RequestStatus::Barred));
+    assert_eq!(first, Ok(RequestStatus::Barred(Barred::default())));
     assert_eq!(second, Err(CallError::Busy));
     assert!(CallError::Busy.is_not_run());
 }
--- a/crates/wire/tests/wire/silence.rs
+++ b/crates/wire/tests/wire/silence.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use wire::Barred;
 use wire::Call;
 use wire::CallError;
 use wire::IncomingMessage;
@@ -45,13 +46,15 @@
         while frames.load(Ordering::Relaxed) < 60 {
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
-        responder.reply(RequestStatus::Barred).unwrap();
+        responder
+            .reply(RequestStatus::Barred(Barred::default()))
+            .unwrap();
     };
     let (request_status, ()) = tokio::join!(
         left.query_status(StatusQuery::default(), LONG_TIMEOUT),
         serve
     );
-    assert_eq!(request_status, Ok(RequestStatus::Barred));
+    assert_eq!(request_status, Ok(RequestStatus::Barred(Barred::default())));
 }
 
 #[tokio::test]
