membership: keep inherited grants apart from those of this process

The expiry of grants from before a restart also counted as one that this process had made, and former witnesses are released no sooner than that. It now only delays when units that the upstream reports count as released. The polled tests hold unchanged.

--- a/crates/membership/src/agent_check_in.rs
+++ b/crates/membership/src/agent_check_in.rs
@@ -37,8 +37,7 @@
             warm_up_left: check_in.warm_up_left,
         });
         if is_first {
-            // The upstream may hold grants of the process that ran before this one.
-            self.upstream.extend_held_until(now + self.cfg.lease);
+            self.upstream.set_inherited_until(now + self.cfg.lease);
         }
         for (unit, handover) in &check_in.handovers {
             self.handovers.insert(unit.clone(), handover.clone());
--- a/crates/membership/src/upstream.rs
+++ b/crates/membership/src/upstream.rs
@@ -37,6 +37,8 @@
     pub(crate) held_until: Duration,
     holder: String,
     in_flight: Option<InFlightGrant>,
+    /// Latest expiry of the grants of the process that ran before this one.
+    pub(crate) inherited_until: Duration,
     pub(crate) last_check_in: u64,
     next_revoke_poll: Duration,
     /// Revisions of the desired and the confirmed grants that were last found to agree.
@@ -216,13 +218,18 @@
     /// Drops the grants that have expired in the upstream's clock. A grant with a later expiry would
     /// revive them, so the next grant replaces all grants.
     fn expire_grants(&mut self, now: Duration) {
-        if now > self.held_until + DRIFT_MARGIN && !self.held.is_empty() {
+        if self.has_expired(now) && !self.held.is_empty() {
             self.resync = true;
             self.held.clear();
             self.clear_confirmed();
         }
     }
 
+    /// Reports whether all grants that the upstream may hold have expired.
+    pub(crate) fn has_expired(&self, now: Duration) -> bool {
+        now > self.held_until.max(self.inherited_until) + DRIFT_MARGIN
+    }
+
     fn next_grant(
         &mut self,
         now: Duration,
@@ -300,7 +307,7 @@
         !self.held.contains_key(unit)
     }
 
-    /// Returns the latest expiry of the grants that the upstream may hold, in this process's clock.
+    /// Returns the latest expiry of the grants that this process has made, in its clock.
     pub(crate) fn held_until(&self) -> Duration {
         self.held_until
     }
--- a/crates/membership/src/upstream_polled.rs
+++ b/crates/membership/src/upstream_polled.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cluster::DRIFT_MARGIN;
 use cluster::UnitFence;
 use ids::Fence;
 use ids::ServiceId;
@@ -76,12 +75,12 @@
     fn may_run_elsewhere(&self, now: Duration, announcement: &Announcement) -> bool {
         let accepted = self.accepted.as_ref();
         let is_elsewhere = accepted.is_some_and(|former| former.address != announcement.address);
-        is_elsewhere && !self.held.is_empty() && now <= self.held_until + DRIFT_MARGIN
+        is_elsewhere && !self.held.is_empty() && !self.has_expired(now)
     }
 
-    /// Extends the time until which the upstream may hold grants.
-    pub(crate) fn extend_held_until(&mut self, until: Duration) {
-        self.held_until = self.held_until.max(until);
+    /// Sets the time until which the upstream may hold grants of the process that ran before this one.
+    pub(crate) fn set_inherited_until(&mut self, until: Duration) {
+        self.inherited_until = until;
     }
 
     /// Replaces the units that the upstream holds by those that it reported. Units that were granted before and aren't
@@ -113,7 +112,7 @@
             return CheckInAnswer::without_renewal(id);
         };
         let hold = (end - now).mul_f64(HOLD_FRACTION).min(MAX_HOLD);
-        self.extend_held_until(end);
+        self.held_until = self.held_until.max(end);
         if self.confirmed != desired.units {
             self.confirmed.clone_from(&desired.units);
             self.revision += 1;
