membership: release no units by a check-in that does not list them

Check-ins of other writers may lack fields.

Change: without the list, what the upstream holds stays as last reported or granted, until it expires.

--- a/crates/membership/src/check_in.rs
+++ b/crates/membership/src/check_in.rs
@@ -20,8 +20,8 @@
     /// Units that the upstream released since its last answered check-in, each with the data for the next owner's
     /// upstream.
     pub handovers: BTreeMap<Unit, String>,
-    /// Units that the upstream holds or still runs requests on.
-    pub held: Vec<UnitFence>,
+    /// Units that the upstream holds or still runs requests on, `None` if it does not state them.
+    pub held: Option<Vec<UnitFence>>,
     /// Id of the check-in within this process.
     pub id: u64,
     /// Number of the check-in, increasing until the upstream restarts.
--- a/crates/membership/src/upstream_polled.rs
+++ b/crates/membership/src/upstream_polled.rs
@@ -65,7 +65,9 @@
         self.draining = check_in.draining;
         self.last_check_in = check_in.sequence;
         self.health.record_announcement(now);
-        self.update_held(&check_in.held);
+        if let Some(held) = &check_in.held {
+            self.update_held(held);
+        }
         Ok(())
     }
 
--- a/crates/membership/tests/polled/evacuations.rs
+++ b/crates/membership/tests/polled/evacuations.rs
@@ -99,3 +99,17 @@
     process.check_in(1, 22, Vec::new());
     assert_eq!(process.agent.fleet().units_of("vm-1").count(), 0);
 }
+
+/// Guards against two upstreams that hold the same units: a check-in without a list of the units that the upstream holds counted
+/// as one that reports none.
+#[test]
+fn a_check_in_that_does_not_list_the_held_units_releases_none() {
+    let (mut process, granted) = process_beside_another_member();
+    declare(&mut process, 10, &[ZONE]);
+    process.check_in(1, 10, granted);
+    let announcement = process.announcement(1);
+    process.check_in_as(announcement, 11, None);
+    assert_eq!(process.agent.fleet().units_of("vm-2").count(), 0);
+    process.check_in(1, 12, Vec::new());
+    assert_eq!(process.agent.fleet().units_of("vm-1").count(), 0);
+}
--- a/crates/membership/tests/polled/process.rs
+++ b/crates/membership/tests/polled/process.rs
@@ -179,7 +179,7 @@
         &mut self,
         announcement: Announcement,
         sequence: u64,
-        held: Vec<UnitFence>,
+        held: impl Into<Option<Vec<UnitFence>>>,
     ) -> CheckInAnswer {
         self.now += Duration::from_millis(900);
         self.handle(Event::LogIdle);
@@ -188,7 +188,7 @@
             announcement,
             draining: false,
             handovers: BTreeMap::new(),
-            held,
+            held: held.into(),
             id: sequence,
             sequence,
             warm_up_left: Duration::ZERO,
--- a/crates/router/src/check_in_service.rs
+++ b/crates/router/src/check_in_service.rs
@@ -123,7 +123,8 @@
         let stopping_since = departed_at.or(agent_check_in.draining.then_some(arrived_at));
         // A check-in that was sent before the upstream announced its stop elsewhere may arrive later.
         agent_check_in.draining |= stopping_since.is_some() || self.home.is_stopping(&process);
-        let held: BTreeSet<UnitFence> = agent_check_in.held.iter().cloned().collect();
+        let held = agent_check_in.held.iter().flatten();
+        let held: BTreeSet<UnitFence> = held.cloned().collect();
         let answer = self.control.check_in(agent_check_in);
         let answered = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
         let answer = answered.ok().flatten();
@@ -259,10 +260,11 @@
     }
 }
 
-fn held_units(check_in: &UpstreamCheckIn, service_config: &Service) -> Vec<UnitFence> {
+fn held_units(check_in: &UpstreamCheckIn, service_config: &Service) -> Option<Vec<UnitFence>> {
+    let held_ranges = check_in.held.as_ref()?;
     let mut held = Vec::new();
     for (index, range) in shard_ranges(service_config) {
-        let mut ranges = check_in.held.iter();
+        let mut ranges = held_ranges.iter();
         if let Some((_, fence)) = ranges.find(|(held_range, _)| held_range.overlaps(&range)) {
             held.push(UnitFence {
                 fence: *fence,
@@ -270,7 +272,7 @@
             });
         }
     }
-    held
+    Some(held)
 }
 
 fn released_handovers(
--- a/crates/router/src/environment/upstream_message.rs
+++ b/crates/router/src/environment/upstream_message.rs
@@ -30,8 +30,8 @@
     pub warm_up_left: Duration,
     /// Whether it is about to stop.
     pub draining: bool,
-    /// Keys that it holds, or for which it still runs requests.
-    pub held: Vec<(KeyRange, Fence)>,
+    /// Keys that it holds, or for which it still runs requests. `None` if it does not state them.
+    pub held: Option<Vec<(KeyRange, Fence)>>,
     /// Identifier of the upstream instance.
     pub instance: String,
     /// Keys that it has released since its last answered check-in, with the handover for the next owner's upstream.
