--- a/crates/policy/src/request_memory.rs
+++ b/crates/policy/src/request_memory.rs
@@ -98,11 +98,10 @@
         let by_key = by_key.and_then(|key| self.records.by_key(key));
         let by_id = record.ids.iter().filter_map(|id| self.records.by_id(id));
         let known: BTreeSet<RecordNumber> = by_id.chain(by_key).collect();
-        for known in known
-            .into_iter()
-            .filter_map(|known| self.records.remove(known))
-        {
-            record.merge(known);
+        for number in known {
+            if let Some(known) = self.records.remove(number) {
+                record.merge(known);
+            }
         }
         self.records.insert(record);
     }
--- a/crates/router/src/check_in_service.rs
+++ b/crates/router/src/check_in_service.rs
@@ -97,6 +97,13 @@
         json_response(StatusCode::BAD_REQUEST, &json!({ "error": problem }))
     }
 
+    fn refuse_undeclared(&self, service: &ServiceId) -> Response<Bytes> {
+        let reason = CheckInRejection::UndeclaredService.as_str();
+        let remedy = "declare it, or correct the name";
+        let problem = format!("no manifest declares the service `{service}`: {remedy}");
+        self.refuse_invalid(reason, &problem)
+    }
+
     /// Records that the upstream has left or is about to leave. Only the accepted one gets requests.
     fn record_leave(&self, instance: &str) {
         let now = self.shared.clock.now();
@@ -130,18 +137,15 @@
         let answer = answered.ok().flatten();
         let rejection = answer.as_ref().and_then(|answer| answer.rejection);
         if rejection == Some(CheckInRejection::UndeclaredService) {
-            let problem = format!(
-                "no manifest declares the service `{service}`: declare it, or correct the name"
-            );
-            return self.refuse_invalid(CheckInRejection::UndeclaredService.as_str(), &problem);
+            return self.refuse_undeclared(&service);
         }
         // The response acknowledges the stop of this process of the upstream, whether or not it is the accepted one.
         if let Some(since) = stopping_since {
             self.home.record_stopping(process, since);
         }
         if rejection.is_none() {
-            let shared = &self.shared;
-            shared.record_dependency_answer(Dependency::Upstream, "");
+            self.shared
+                .record_dependency_answer(Dependency::Upstream, "");
         }
         let grants = answer.and_then(|answer| self.merge_grants(&service, &held, &answer));
         let outcome = match (rejection, &grants) {
