--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of the platform, its servers and its consumers, and the cases that use them.
 
+mod cut;
 mod fleet;
 mod http;
 mod json;
@@ -40,6 +41,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = record::Record::create(&folder);
     let verdict = match case.as_str() {
+        "cut" => cut::run(has_trouble, &record),
         "loss" => loss::run(has_trouble, &record),
         "stop" => stop::run(has_trouble, &record),
         _ => Verdict::CannotRun,
