--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 # disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/skylarkrudder-mesh ] && [ -x target/review-3/review-3 ] || exit 2
-exec target/review-3/review-3 stop review/11
+exec target/review-3/review-3 cut review/11
--- a/review/standin-3/cut.rs
+++ b/review/standin-3/cut.rs
@@ -10,11 +10,11 @@
 
 /// One server of the service that is divided by key.
 const MACHINES: [(&str, &str); 5] = [
-    ("orders", "qld-a"),
-    ("workshop", "qld-b"),
-    ("workshop", "qld-c"),
-    ("workshop", "qld-a"),
-    ("workshop", "qld-b"),
+    ("batch-desk", "dundee-docks"),
+    ("cold-ledger", "perth-west"),
+    ("cold-ledger", "arbroath"),
+    ("cold-ledger", "forfar"),
+    ("cold-ledger", "dundee-docks"),
 ];
 
 /// `recovery` of the installation.
@@ -30,8 +30,8 @@
     while Instant::now() < until {
         for (index, machine) in fleet.machines.iter().enumerate() {
             let (path, key) = match sent % OTHER_SERVICE {
-                0 => ("/workshop/x", 1),
-                _ => ("/orders/x", (sent * 7_919 + index) % 65_536),
+                0 => ("/audit/x", 1),
+                _ => ("/flavour/x", (sent * 7_919 + index) % 65_536),
             };
             let answer = machine.send(path, key, 1_000);
             sent += 1;
