--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform, its servers and its consumers, and the cases that use them.
 
 mod cut;
+mod drain;
 mod fleet;
 mod http;
 mod json;
@@ -39,6 +40,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = record::Record::create(&folder);
     let verdict = match case.as_str() {
+        "drain" => drain::run(has_trouble, &record),
         "cut" => cut::run(has_trouble, &record),
         _ => Verdict::CannotRun,
     };
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -39,9 +39,19 @@
     holds: Mutex<Holds>,
     state: Mutex<&'static str>,
     is_gone: AtomicBool,
+    /// Number of the last check-in. Locked while one is sent.
+    seq: Mutex<u64>,
     connections: Mutex<Vec<TcpStream>>,
     running: AtomicU64,
     record: Arc<Record>,
+    work: Mutex<Duration>,
+    /// Requests that arrived, each with the time.
+    arrivals: Mutex<Vec<(String, Instant)>>,
+    /// Time from which the answers to requests that have run are lost.
+    loses_from: Mutex<Option<Instant>>,
+    lost: AtomicU64,
+    /// Number of check-ins that were acknowledged.
+    acknowledged: AtomicU64,
 }
 
 impl Server {
@@ -52,6 +62,7 @@
         record: Arc<Record>,
     ) -> Arc<Server> {
         let listener = TcpListener::bind(address).unwrap();
+        let work = Mutex::new(options.work);
         let server = Arc::new(Server {
             address,
             control,
@@ -67,9 +78,15 @@
             }),
             state: Mutex::new("ready"),
             is_gone: AtomicBool::new(false),
+            seq: Mutex::default(),
             connections: Mutex::default(),
             running: AtomicU64::new(0),
             record,
+            work,
+            arrivals: Mutex::default(),
+            loses_from: Mutex::default(),
+            lost: AtomicU64::new(0),
+            acknowledged: AtomicU64::new(0),
         });
         let serving = Arc::clone(&server);
         std::thread::spawn(move || {
@@ -86,10 +103,11 @@
         });
         let beating = Arc::clone(&server);
         std::thread::spawn(move || {
-            let mut seq = 0;
             while !beating.is_gone.load(Ordering::SeqCst) {
-                seq += 1;
-                let must_tell = beating.check_in(seq);
+                let mut seq = beating.seq.lock().unwrap();
+                *seq += 1;
+                let must_tell = beating.check_in(*seq);
+                drop(seq);
                 let pause = match must_tell {
                     true => Duration::from_millis(80),
                     false => beating.options.heartbeat,
@@ -110,6 +128,37 @@
         }
     }
 
+    pub fn set_work(&self, work: Duration) {
+        *self.work.lock().unwrap() = work;
+    }
+
+    /// Reports at once that the server leaves. Returns the time of the acknowledgement.
+    pub fn leave(&self) -> Option<Instant> {
+        *self.state.lock().unwrap() = "draining";
+        let mut seq = self.seq.lock().unwrap();
+        for _ in 0..3 {
+            *seq += 1;
+            let acknowledged = self.check_in_once(*seq);
+            if acknowledged {
+                return Some(Instant::now());
+            }
+        }
+        None
+    }
+
+    /// Loses the answers to requests that end from a time on.
+    pub fn lose_answers_from(&self, from: Instant) {
+        *self.loses_from.lock().unwrap() = Some(from);
+    }
+
+    pub fn lost_answers(&self) -> u64 {
+        self.lost.load(Ordering::SeqCst)
+    }
+
+    pub fn arrivals(&self) -> Vec<(String, Instant)> {
+        self.arrivals.lock().unwrap().clone()
+    }
+
     /// Returns the number of keys that the server holds now.
     pub fn held_keys(&self) -> usize {
         let mut holds = self.holds.lock().unwrap();
@@ -159,12 +208,17 @@
             let headers = [("X-Request-Id", &id[..]), ("X-Not-Executed", "1")];
             return write_response(writer, 421, &headers, b"");
         }
+        self.arrivals
+            .lock()
+            .unwrap()
+            .push((id.clone(), Instant::now()));
         let running = self.running.fetch_add(1, Ordering::SeqCst);
         let is_full = running >= self.options.slots as u64;
         if !is_full {
             self.record
                 .line(&format!("ran {id} at {}", self.options.id));
-            std::thread::sleep(self.options.work);
+            let work = *self.work.lock().unwrap();
+            std::thread::sleep(work);
         }
         self.running.fetch_sub(1, Ordering::SeqCst);
         if let (true, Some(key)) = (self.options.sharded, key) {
@@ -178,6 +232,20 @@
                 b"",
             );
         }
+        if self
+            .loses_from
+            .lock()
+            .unwrap()
+            .is_some_and(|from| Instant::now() >= from)
+        {
+            self.lost.fetch_add(1, Ordering::SeqCst);
+            self.record.line(&format!(
+                "the answer to {id} is lost at {}",
+                self.options.id
+            ));
+            let _ = writer.shutdown(Shutdown::Both);
+            return false;
+        }
         let stamp = format!("{}.{id}", self.options.id);
         let headers = [
             ("X-Request-Id", &id[..]),
@@ -195,6 +263,13 @@
         may_run
     }
 
+    /// Sends a check-in of a server without keys. Returns whether it is acknowledged.
+    fn check_in_once(&self, seq: u64) -> bool {
+        let before = self.acknowledged.load(Ordering::SeqCst);
+        self.check_in(seq);
+        self.acknowledged.load(Ordering::SeqCst) > before
+    }
+
     /// Sends a check-in. Returns whether another one must follow soon, since keys are to be released.
     fn check_in(&self, seq: u64) -> bool {
         let (rows, released) = {
@@ -245,6 +320,7 @@
         if answer.status() / 100 != 2 || sent.elapsed() > limit {
             return false;
         }
+        self.acknowledged.fetch_add(1, Ordering::SeqCst);
         let mut holds = self.holds.lock().unwrap();
         let told = released.len();
         holds.released.drain(..told);
