--- a/review/standin-3/drain.rs
+++ b/review/standin-3/drain.rs
@@ -21,10 +21,10 @@
 const LEAVING: usize = 3;
 
 /// `drain` of the installation.
-const DRAIN: Duration = Duration::from_millis(3_000);
+const DRAIN: Duration = Duration::from_millis(2_000);
 
-/// Time that a request runs, within the timeout of its route, which is 4 s here.
-const WORK: Duration = Duration::from_millis(3_400);
+/// Time that a request runs, within the timeout of its route, which is 3 s here.
+const WORK: Duration = Duration::from_millis(2_200);
 
 /// Largest share of its answers that the server may lose.
 const MAX_LOST: f64 = 0.05;
@@ -32,7 +32,7 @@
 pub fn run(has_trouble: bool, record: &Arc<Record>) -> Verdict {
     let manifest = manifest(1).replace(
         "\"safe\",\"1000ms\",\"400ms\"",
-        "\"safe\",\"4000ms\",\"1690ms\"",
+        "\"safe\",\"3000ms\",\"800ms\"",
     );
     let plan = Plan {
         machines: &MACHINES,
@@ -106,7 +106,7 @@
 fn send(fleet: &Fleet, number: usize, record: &Arc<Record>) {
     let id = new_id();
     let machine = &fleet.machines[number % LEAVING];
-    let answer = machine.send_as(&id, "GET", "/audit/x", 1, 4_000);
+    let answer = machine.send_as(&id, "GET", "/audit/x", 1, 3_000);
     let status = answer.map(|answer| answer.status());
     record.line(&format!("sent {id} to {}: {status:?}", machine.name));
 }
