Name witnesses for members that nobody watches

Cause: the witnesses of the lost member have all restarted, so each is a new incarnation that watches nobody. Only the member asks for others, and it is gone. The fold has S pieces of evidence and no suspicion, and `lease_end` concludes nothing without one, as that would end healthy members whose witnesses restart together.

Change: after each record that adds, ends or suspects members, the fold names one more set of witnesses for each member that no set in force can renew. They watch it, and suspect it if it is gone. A member that lives renews with them, and does so without a record of its own. Later incarnations of the former witnesses are preferred, since the member still sends heartbeats to their addresses and is not silent for them while it has not read the record. In a fleet of two, the `Join` of a restarted process no longer releases the other member from its witnesses in between: it would hold alone, and nobody could end it if it is gone. Why no two owners can result: docs/design/ownership.md.

The test of a first witness that is lost before it renews needs two requests where it needed one: the first now releases the failed set, since the fold has named another.

--- a/crates/cluster/src/fold_members.rs
+++ b/crates/cluster/src/fold_members.rs
@@ -32,14 +32,15 @@
         check_join(&join)?;
         let mut changes = Vec::new();
         let retained = self.take_retained_units(&join);
-        let ended = self.roster.end_replaced(offset, &join);
-        self.reassign_units_of_ended(offset, ended, &mut changes);
+        let ended = self.roster.end_replaced(&join);
+        self.reassign_units_of_ended(offset, &ended, &mut changes);
         changes.push(Change::MemberJoined {
             incarnation: offset,
             vm: join.vm.clone(),
         });
         self.reassign_retained_units(offset, &join.vm, retained, &mut changes);
         self.roster.join(offset, join);
+        self.update_witnesses(offset, &ended, &mut changes);
         self.assign_unowned(offset, &mut changes);
         Ok(changes)
     }
@@ -108,9 +109,10 @@
         reason: EndReason,
     ) -> Result<Vec<Change>, String> {
         self.check_incarnation(vm, incarnation)?;
-        let ended = self.roster.end_member(offset, vm, reason);
+        let ended = self.roster.end_member(vm, reason);
         let mut changes = Vec::new();
-        self.reassign_units_of_ended(offset, ended, &mut changes);
+        self.reassign_units_of_ended(offset, &ended, &mut changes);
+        self.update_witnesses(offset, &ended, &mut changes);
         Ok(changes)
     }
 
@@ -125,14 +127,26 @@
         let mut changes = Vec::new();
         let ended = self
             .roster
-            .add_suspicions(offset, vm, incarnation, suspicions, &mut changes);
+            .add_suspicions(vm, incarnation, suspicions, &mut changes);
         if changes.is_empty() {
             return Err(format!("`{vm}` is not a witness of any listed member"));
         }
-        self.reassign_units_of_ended(offset, ended, &mut changes);
+        self.reassign_units_of_ended(offset, &ended, &mut changes);
+        self.update_witnesses(offset, &ended, &mut changes);
         Ok(changes)
     }
 
+    /// Updates the witnesses of the remaining members after others have joined or ended, or were suspected.
+    fn update_witnesses(
+        &mut self,
+        offset: Offset,
+        ended: &[EndedMember],
+        changes: &mut Vec<Change>,
+    ) {
+        let named = self.roster.update_witnesses(offset, ended);
+        changes.extend(named.into_iter().map(|vm| Change::WitnessesNamed { vm }));
+    }
+
     pub(crate) fn rewitness(
         &mut self,
         offset: Offset,
@@ -160,7 +174,7 @@
     fn reassign_units_of_ended(
         &mut self,
         offset: Offset,
-        ended: Vec<EndedMember>,
+        ended: &[EndedMember],
         changes: &mut Vec<Change>,
     ) {
         let mut orphans = Vec::new();
@@ -174,7 +188,7 @@
             changes.push(Change::MemberEnded {
                 incarnation: member.incarnation,
                 reason: member.reason,
-                vm: member.vm,
+                vm: member.vm.clone(),
             });
         }
         self.assign_units(offset, orphans, changes);
--- a/crates/cluster/src/roster.rs
+++ b/crates/cluster/src/roster.rs
@@ -5,6 +5,7 @@
 
 use ids::Incarnation;
 use ids::Offset;
+use ids::RegionId;
 use ids::VmId;
 
 use crate::Change;
@@ -29,6 +30,7 @@
 pub(crate) struct EndedMember {
     pub(crate) incarnation: Incarnation,
     pub(crate) reason: EndReason,
+    pub(crate) region: RegionId,
     pub(crate) vm: VmId,
     /// Time that new owners of its units wait for the lease to expire, in milliseconds.
     pub(crate) wait_ms: u64,
@@ -109,7 +111,7 @@
     }
 
     /// Ends the members whose VM or peer address a new process has, which shows that their processes have stopped.
-    pub(crate) fn end_replaced(&mut self, offset: Offset, join: &Join) -> Vec<EndedMember> {
+    pub(crate) fn end_replaced(&mut self, join: &Join) -> Vec<EndedMember> {
         let replaced: Vec<VmId> = self
             .members
             .values()
@@ -118,39 +120,26 @@
             .collect();
         let mut ended = Vec::new();
         for vm in replaced {
-            ended.extend(self.end_member(offset, &vm, EndReason::Replaced));
+            ended.extend(self.end_member(&vm, EndReason::Replaced));
         }
         ended
     }
 
     /// Ends a member whose process has stopped, and every member that is lost as a consequence.
-    pub(crate) fn end_member(
-        &mut self,
-        offset: Offset,
-        vm: &VmId,
-        reason: EndReason,
-    ) -> Vec<EndedMember> {
+    pub(crate) fn end_member(&mut self, vm: &VmId, reason: EndReason) -> Vec<EndedMember> {
         let wait_ms = match reason {
             // The upstream may hold grants until the lease ends.
             EndReason::DeclaredLost | EndReason::Replaced => self.full_wait_ms(vm),
             EndReason::Left | EndReason::Lost => 0,
         };
         let mut ended = Vec::new();
-        self.remove(
-            offset,
-            vm,
-            reason,
-            wait_ms,
-            Some(WitnessEnd::Gone),
-            &mut ended,
-        );
+        self.remove(vm, reason, wait_ms, Some(WitnessEnd::Gone), &mut ended);
         ended
     }
 
     /// Adds the suspicions of one witness, and ends the members that are lost by them.
     pub(crate) fn add_suspicions(
         &mut self,
-        offset: Offset,
         witness: &VmId,
         incarnation: Incarnation,
         suspicions: &[Suspicion],
@@ -176,7 +165,7 @@
                     by: witness.clone(),
                     vm: suspicion.vm.clone(),
                 });
-                self.end_if_lost(offset, &suspicion.vm, &mut ended);
+                self.end_if_lost(&suspicion.vm, &mut ended);
             }
         }
         ended
@@ -184,7 +173,12 @@
 
     /// Names new witnesses for a member, or releases its former ones.
     pub(crate) fn replace_witnesses(&mut self, offset: Offset, vm: &VmId) {
-        let witnesses = self.with_incarnations(&self.choose_witnesses_of(vm));
+        self.set_witnesses(offset, vm, &self.choose_witnesses_of(vm));
+    }
+
+    /// Names these witnesses for a member, or releases its former ones.
+    pub(crate) fn set_witnesses(&mut self, offset: Offset, vm: &VmId, witnesses: &BTreeSet<VmId>) {
+        let witnesses = self.with_incarnations(witnesses);
         if let Some(supervision) = self.supervisions.get_mut(vm) {
             supervision.replace_witnesses(offset, witnesses);
         }
@@ -213,7 +207,7 @@
     }
 
     /// Ends a member if the evidence of its witnesses shows that its lease is over.
-    fn end_if_lost(&mut self, offset: Offset, vm: &VmId, ended: &mut Vec<EndedMember>) {
+    fn end_if_lost(&mut self, vm: &VmId, ended: &mut Vec<EndedMember>) {
         let Some(lease_end) = self.supervisions.get(vm).and_then(Supervision::lease_end) else {
             return;
         };
@@ -222,19 +216,11 @@
             lease_wait_ms,
         } = lease_end;
         let witness_end = contact_wait_ms.map(WitnessEnd::Lost);
-        self.remove(
-            offset,
-            vm,
-            EndReason::Lost,
-            lease_wait_ms,
-            witness_end,
-            ended,
-        );
+        self.remove(vm, EndReason::Lost, lease_wait_ms, witness_end, ended);
     }
 
     fn remove(
         &mut self,
-        offset: Offset,
         vm: &VmId,
         reason: EndReason,
         wait_ms: u64,
@@ -248,19 +234,18 @@
         ended.push(EndedMember {
             incarnation: member.incarnation,
             reason,
+            region: member.join.region.clone(),
             vm: vm.clone(),
             wait_ms,
         });
         if let Some(witness_end) = witness_end {
-            self.add_witness_end(offset, &member, witness_end, ended);
+            self.add_witness_end(&member, witness_end, ended);
         }
-        self.release_witnesses_of_last_member(offset, &member);
     }
 
     /// Adds the end of a witness as evidence about the members that it is a witness of.
     fn add_witness_end(
         &mut self,
-        offset: Offset,
         witness: &Member,
         witness_end: WitnessEnd,
         ended: &mut Vec<EndedMember>,
@@ -277,18 +262,27 @@
             })
             .collect();
         for watched in watched {
-            self.end_if_lost(offset, &watched, ended);
+            self.end_if_lost(&watched, ended);
+        }
+    }
+
+    /// Updates witnesses after a record that has added or ended members, or added suspicions. Returns the members that
+    /// were named new witnesses.
+    pub(crate) fn update_witnesses(&mut self, offset: Offset, ended: &[EndedMember]) -> Vec<VmId> {
+        for member in ended {
+            self.release_witnesses_of_last_member(offset, &member.region);
         }
+        self.name_substitutes(offset)
     }
 
     /// Releases the witnesses of a member that has become the last of its region.
     ///
     /// No other member is left to renew its lease or to suspect it.
-    fn release_witnesses_of_last_member(&mut self, offset: Offset, removed: &Member) {
+    fn release_witnesses_of_last_member(&mut self, offset: Offset, region: &RegionId) {
         let mut remaining = self
             .members
             .values()
-            .filter(|member| member.join.region == removed.join.region);
+            .filter(|member| member.join.region == *region);
         let (Some(last), None) = (remaining.next(), remaining.next()) else {
             return;
         };
--- a/crates/cluster/src/roster_witnesses.rs
+++ b/crates/cluster/src/roster_witnesses.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use ids::Incarnation;
+use ids::Offset;
 use ids::VmId;
 
 use crate::Member;
@@ -12,6 +13,9 @@
 use crate::witness_choice::choose_witnesses;
 use crate::witness_choice::survives_zone_loss;
 
+/// Smallest number of preferred candidates. A single witness would end each member that it alone can't reach.
+const MIN_SUBSTITUTES: usize = 2;
+
 impl Roster {
     /// Reports whether a `Rewitness` record would improve the witnesses of a member.
     pub(crate) fn needs_rewitness(&self, vm: &VmId) -> bool {
@@ -39,13 +43,60 @@
 
     /// Returns the witnesses that would be chosen for a member now.
     pub(crate) fn choose_witnesses_of(&self, vm: &VmId) -> BTreeSet<VmId> {
+        let Some(member) = self.members.get(vm) else {
+            return BTreeSet::new();
+        };
+        choose_witnesses(member, &self.witness_candidates(vm))
+    }
+
+    /// Names new witnesses for each member whose witnesses can't renew its lease any more, and returns these members.
+    ///
+    /// A member that is gone does not request any, and the processes that watched it have ended.
+    pub(crate) fn name_substitutes(&mut self, offset: Offset) -> Vec<VmId> {
+        let supervisions = self.supervisions.iter();
+        let unwatched = supervisions.filter(|(_, supervision)| !supervision.can_renew());
+        let mut unwatched: Vec<VmId> = unwatched.map(|(vm, _)| vm.clone()).collect();
+        unwatched.retain(|vm| {
+            let witnesses = self.choose_substitutes_of(vm);
+            let are_named = !witnesses.is_empty();
+            if are_named {
+                self.set_witnesses(offset, vm, &witnesses);
+            }
+            are_named
+        });
+        unwatched
+    }
+
+    /// Returns the new witnesses of a member whose witnesses can't renew its lease any more.
+    ///
+    /// Prefers later incarnations of the former witnesses, which the member still sends heartbeats to, and then members
+    /// that joined after the former witnesses were named. Others may have been lost together with the member.
+    fn choose_substitutes_of(&self, vm: &VmId) -> BTreeSet<VmId> {
         let (Some(member), Some(supervision)) = (self.members.get(vm), self.supervisions.get(vm))
         else {
             return BTreeSet::new();
         };
+        let candidates = self.witness_candidates(vm);
+        let returned =
+            |other: &Member| supervision.includes_earlier(&other.join.vm, other.incarnation);
+        let joined_since = |other: &Member| other.incarnation > supervision.current.named_at;
+        let groups: [&dyn Fn(&Member) -> bool; 2] = [&returned, &joined_since];
+        let mut preferred = groups.into_iter().map(|includes| {
+            let members = candidates.iter().filter(|other| includes(other.member));
+            members.cloned().collect::<Vec<_>>()
+        });
+        let preferred = preferred.find(|group| group.len() >= MIN_SUBSTITUTES);
+        choose_witnesses(member, &preferred.unwrap_or(candidates))
+    }
+
+    /// Returns the members that may become witnesses of a member.
+    fn witness_candidates(&self, vm: &VmId) -> Vec<WitnessCandidate<'_>> {
+        let (Some(member), Some(supervision)) = (self.members.get(vm), self.supervisions.get(vm))
+        else {
+            return Vec::new();
+        };
         let watched_counts = self.watched_counts(vm);
-        let candidates: Vec<WitnessCandidate<'_>> = self
-            .members
+        self.members
             .values()
             .filter(|other| other.join.region == member.join.region)
             .filter(|other| other.join.vm != *vm)
@@ -57,8 +108,7 @@
                     .copied()
                     .unwrap_or_default(),
             })
-            .collect();
-        choose_witnesses(member, &candidates)
+            .collect()
     }
 
     /// Returns, for each witness, the number of members other than `vm` that it is a witness of.
--- a/crates/cluster/src/supervision.rs
+++ b/crates/cluster/src/supervision.rs
@@ -52,6 +52,10 @@
 /// The former sets are not released while so many witnesses of the new set are gone that it can't
 /// renew. The next `Rewitness` then names a further set, and the member may renew with any of them.
 ///
+/// The roster names a further set itself as soon as no set in force can renew. A member that is gone
+/// asks for none, and nobody would be left to suspect it. A `Rewitness` that the member appended before it
+/// read of that set has an older base and is void, so it releases nothing.
+///
 /// # First witnesses
 ///
 /// A set without witnesses is not kept as a former one. A member without witnesses holds its lease
@@ -66,8 +70,8 @@
 ///
 /// Evidence that witnesses are gone ends no lease by itself: at least one witness must suspect
 /// the member. Many graceful stops at once therefore never end a healthy member. A member that
-/// fails together with so many witnesses that none or too few are left to suspect it keeps its
-/// units until an operator declares it lost.
+/// fails together with so many witnesses that too few of a set are left to suspect it, or to be replaced by
+/// later incarnations, keeps its units until an operator declares it lost.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct Supervision {
     pub(crate) current: WitnessSet,
@@ -102,7 +106,19 @@
 
     /// Reports whether the next `Rewitness` releases the former sets instead of naming new witnesses.
     pub(crate) fn releases_former(&self) -> bool {
-        self.has_former() && self.current.lease_wait_ms().is_none()
+        self.has_former() && self.current.can_renew()
+    }
+
+    /// Reports whether enough witnesses of any set in force may still renew the lease.
+    pub(crate) fn can_renew(&self) -> bool {
+        self.sets().any(WitnessSet::can_renew)
+    }
+
+    /// Reports whether an earlier incarnation of a VM is a witness.
+    pub(crate) fn includes_earlier(&self, vm: &str, incarnation: Incarnation) -> bool {
+        let is_earlier = |named: &Incarnation| *named < incarnation;
+        self.sets()
+            .any(|set| set.witnesses.get(vm).is_some_and(is_earlier))
     }
 
     /// Replaces the witnesses, or releases the former sets.
--- a/crates/cluster/src/witness_set.rs
+++ b/crates/cluster/src/witness_set.rs
@@ -46,6 +46,11 @@
             .any(|evidence| evidence.is_suspicion())
     }
 
+    /// Reports whether enough witnesses may still renew the lease.
+    pub(crate) fn can_renew(&self) -> bool {
+        self.lease_wait_ms().is_none()
+    }
+
     /// Returns the number of witnesses that still renew.
     pub(crate) fn renewing_count(&self) -> usize {
         self.witnesses.len() - self.evidence.len()
--- a/crates/cluster/tests/first_witnesses.rs
+++ b/crates/cluster/tests/first_witnesses.rs
@@ -53,6 +53,8 @@
     log.rewitness("vm-002");
     log.rewitness("vm-002");
     log.append_applied(join(1, "b"));
+    // The first record releases the witness whose loss left the member without any that renews.
+    log.rewitness("vm-000");
     log.rewitness("vm-000");
     let witness_count = log.fleet.members()["vm-000"].witnesses.len();
     assert_eq!(witness_count, 2);
--- a/crates/membership/tests/model/main.rs
+++ b/crates/membership/tests/model/main.rs
@@ -12,6 +12,7 @@
 mod scenarios;
 mod simulated_log;
 mod simulation;
+mod witness_ends;
 
 use ids::Unit;
 
--- a/crates/membership/tests/model/replacement.rs
+++ b/crates/membership/tests/model/replacement.rs
@@ -52,19 +52,19 @@
     fleet
 }
 
-fn position(sim: &Simulation, vm: &str) -> usize {
+pub(crate) fn position(sim: &Simulation, vm: &str) -> usize {
     let mut nodes = sim.nodes.iter();
     let position = nodes.position(|node| node.vm == vm);
     position.expect("members are nodes")
 }
 
-fn kill(sim: &mut Simulation, index: usize) {
+pub(crate) fn kill(sim: &mut Simulation, index: usize) {
     sim.nodes[index].kill();
     sim.nodes[index].upstream.paused_until = u64::MAX / 2;
 }
 
 /// Cuts a node off from the log and from `others`.
-fn cut_off(sim: &mut Simulation, index: usize, others: &[usize]) {
+pub(crate) fn cut_off(sim: &mut Simulation, index: usize, others: &[usize]) {
     sim.nodes[index].is_cut_from_log = true;
     for other in others {
         sim.cuts.extend([(index, *other), (*other, index)]);
--- a/crates/membership/tests/model/scenarios.rs
+++ b/crates/membership/tests/model/scenarios.rs
@@ -33,7 +33,12 @@
 }
 
 fn settled_with_seed(seed: u64) -> Simulation {
-    let mut sim = Simulation::new(seed, 4, BrokenRule::None);
+    settled_with(seed, 4, BrokenRule::None)
+}
+
+/// Returns a simulation of `size` nodes in which all units are served.
+pub(crate) fn settled_with(seed: u64, size: usize, broken_rule: BrokenRule) -> Simulation {
+    let mut sim = Simulation::new(seed, size, broken_rule);
     sim.run_until(START);
     assert!(units().all(|unit| is_served(&sim, &unit)));
     sim.decisions.clear();
