Count the return of a witness whose last renewal was unknown

Cause: the loss of one of its witnesses had been decided with evidence of a lost witness, so that nothing is known of when it stops renewing. It gave no evidence then, and none later, although its VM had joined again: a `Join` gave evidence only about the incarnation that was a member until then.

Change: a `Join` bounds the renewals of all earlier incarnations of its VM. The former process has stopped, or has read of its own end and has renewed nothing since.

Test: a_witness_whose_last_renewal_is_unknown_gives_evidence_when_its_process_returns (cluster tests/substitutes) failed before. 20,000 histories of the model: none with two owners, all served again. One of an earlier 20,000 had failed by a fault of the test, which killed a node after the restart that was to follow; the restart is now scheduled by the kill.

--- a/crates/cluster/src/roster.rs
+++ b/crates/cluster/src/roster.rs
@@ -122,9 +122,18 @@
         for vm in replaced {
             ended.extend(self.end_member(&vm, EndReason::Replaced));
         }
+        self.add_evidence_of_all(&join.vm, &mut ended);
         ended
     }
 
+    /// Adds the end of all incarnations of a witness as evidence, also of those that were lost earlier without evidence
+    /// of when they stop renewing.
+    fn add_evidence_of_all(&mut self, witness: &VmId, ended: &mut Vec<EndedMember>) {
+        self.add_to_watched(ended, |supervision, lease_ms| {
+            supervision.add_end_of_all(witness, WitnessEnd::Gone.evidence(lease_ms))
+        });
+    }
+
     /// Ends a member whose process has stopped, and every member that is lost as a consequence.
     pub(crate) fn end_member(&mut self, vm: &VmId, reason: EndReason) -> Vec<EndedMember> {
         let wait_ms = match reason {
@@ -250,14 +259,26 @@
         witness_end: WitnessEnd,
         ended: &mut Vec<EndedMember>,
     ) {
-        let vm = &witness.join.vm;
+        self.add_to_watched(ended, |supervision, lease_ms| {
+            let evidence = witness_end.evidence(lease_ms);
+            supervision.add_evidence(&witness.join.vm, witness.incarnation, evidence)
+        });
+    }
+
+    /// Adds evidence about each member with `add`, and ends the members that are lost by it.
+    ///
+    /// `add` gets the length of the member's lease in milliseconds, and reports whether it has added any.
+    fn add_to_watched(
+        &mut self,
+        ended: &mut Vec<EndedMember>,
+        add: impl Fn(&mut Supervision, u64) -> bool,
+    ) {
         let members = &self.members;
         let watched: Vec<VmId> = self
             .supervisions
             .iter_mut()
             .filter_map(|(watched, supervision)| {
-                let evidence = witness_end.evidence(members.get(watched)?.join.lease_ms);
-                let added = supervision.add_evidence(vm, witness.incarnation, evidence);
+                let added = add(supervision, members.get(watched)?.join.lease_ms);
                 added.then(|| watched.clone())
             })
             .collect();
--- a/crates/cluster/src/supervision.rs
+++ b/crates/cluster/src/supervision.rs
@@ -28,6 +28,7 @@
 ///   suspicion.
 /// - A witness that left, was replaced, or was declared lost by an operator had stopped before the
 ///   record was appended. The lease is over `LEASE` after the append.
+///   The `Join` of a process bounds the renewals of all earlier incarnations of its VM in the same way.
 /// - A witness renews only while it has itself received answers from `Quorum::renewals` of its own
 ///   witnesses within `LEASE`. If it was lost because enough of them no longer answer it, then it
 ///   stops renewing a known time after its loss, and the last lease that it renewed ends `LEASE`
@@ -172,6 +173,18 @@
         included
     }
 
+    /// Adds evidence that all incarnations of a witness have ended so far, and reports whether any set lacked it.
+    pub(crate) fn add_end_of_all(&mut self, witness: &VmId, evidence: Evidence) -> bool {
+        let mut added = false;
+        for set in std::iter::once(&mut self.current).chain(&mut self.former) {
+            if set.lacks_evidence_of(witness) {
+                set.add_evidence(witness, evidence);
+                added = true;
+            }
+        }
+        added
+    }
+
     /// Returns when the lease is over, or `None` if the evidence does not show that it ends.
     pub(crate) fn lease_end(&self) -> Option<LeaseEnd> {
         if !self.sets().any(WitnessSet::has_suspicion) {
--- a/crates/cluster/src/witness_set.rs
+++ b/crates/cluster/src/witness_set.rs
@@ -40,6 +40,11 @@
         self.evidence.entry(witness.clone()).or_insert(evidence);
     }
 
+    /// Reports whether a VM is a witness that has given no evidence.
+    pub(crate) fn lacks_evidence_of(&self, witness: &VmId) -> bool {
+        self.witnesses.contains_key(witness) && !self.evidence.contains_key(witness)
+    }
+
     pub(crate) fn has_suspicion(&self) -> bool {
         self.evidence
             .values()
--- a/crates/cluster/tests/substitutes.rs
+++ b/crates/cluster/tests/substitutes.rs
@@ -149,3 +149,28 @@
     assert!(!names_witnesses_of(&changes, MEMBER));
     assert!(witnesses(&log, MEMBER).is_empty());
 }
+
+/// A witness whose own loss was decided with evidence of a lost witness may go on renewing, so its loss states nothing.
+#[test]
+fn a_witness_whose_last_renewal_is_unknown_gives_evidence_when_its_process_returns() {
+    let mut log = log_with_witnesses();
+    let watching = witnesses(&log, MEMBER);
+    let witness = watching[0].clone();
+    let mut witnesses_of_witness = witnesses(&log, &witness);
+    witnesses_of_witness.retain(|other| other != MEMBER && !watching.contains(other));
+    let lost = &witnesses_of_witness[0];
+    suspect_until_lost(&mut log, lost, 2_000);
+    let others = witnesses(&log, &witness);
+    let mut others = others.iter().filter(|other| *other != lost);
+    while log.fleet.members().contains_key(&witness) {
+        let suspecting = others.next().expect("enough witnesses are left");
+        log.suspect(suspecting, &witness, 2_000);
+    }
+    for other in &watching[1..suspicions_needed(&log, MEMBER)] {
+        log.suspect(other, MEMBER, 2_000);
+    }
+    assert!(log.fleet.members().contains_key(MEMBER));
+    let index = witness.trim_start_matches("vm-").parse().expect("an index");
+    log.append_applied(join(index, "a"));
+    assert!(!log.fleet.members().contains_key(MEMBER));
+}
--- a/crates/membership/tests/model/witness_ends.rs
+++ b/crates/membership/tests/model/witness_ends.rs
@@ -79,7 +79,8 @@
     CutFromLog(usize),
     CutOff(usize),
     HealAll,
-    Kill(usize),
+    /// Ends a process, which restarts at a time unless it is lost for good.
+    Kill(usize, Option<u64>),
     LogDown,
     LogUp,
     Pause(usize, u64),
@@ -135,17 +136,15 @@
             Fate::CutFromLog => self.changes.push((at, Change::CutFromLog(index))),
             Fate::CutOff => self.changes.push((at, Change::CutOff(index))),
             Fate::ReturnsLate => {
-                self.changes.push((at, Change::Kill(index)));
-                self.schedule_restart(index, until);
+                self.changes.push((at, Change::Kill(index, Some(until))));
             }
             Fate::ReturnsWithoutUpstream => {
                 self.changes.push((at, Change::StopUpstream(index)));
-                self.changes.push((at, Change::Kill(index)));
-                self.schedule_restart(index, until);
+                self.changes.push((at, Change::Kill(index, Some(until))));
             }
             Fate::Lost => {
                 self.changes.push((at, Change::StopUpstream(index)));
-                self.changes.push((at, Change::Kill(index)));
+                self.changes.push((at, Change::Kill(index, None)));
             }
         }
     }
@@ -163,17 +162,11 @@
             if ends_all || (is_witness && self.sim.rng.random_bool(share)) {
                 let end = at + self.sim.rng.random_range(0..500 * MS);
                 let restart = end + self.sim.rng.random_range(100 * MS..4 * SECOND);
-                self.changes.push((end, Change::Kill(index)));
-                self.schedule_restart(index, restart);
+                self.changes.push((end, Change::Kill(index, Some(restart))));
             }
         }
     }
 
-    fn schedule_restart(&mut self, index: usize, at: u64) {
-        let after = at - self.sim.at;
-        self.sim.schedule(after, index, Input::Restart);
-    }
-
     fn apply_due(&mut self) {
         let sim = &mut self.sim;
         while let Some((_, change)) = self.changes.first().filter(|(at, _)| *at <= sim.at) {
@@ -193,8 +186,13 @@
                         node.is_cut_from_log = false;
                     }
                 }
-                Change::Kill(index) if sim.nodes[index].is_up => sim.nodes[index].kill(),
-                Change::Kill(_) => {}
+                Change::Kill(index, restart) if sim.nodes[index].is_up => {
+                    sim.nodes[index].kill();
+                    if let Some(restart) = restart {
+                        sim.schedule(restart.saturating_sub(sim.at), index, Input::Restart);
+                    }
+                }
+                Change::Kill(..) => {}
                 Change::LogDown => sim.is_log_down = true,
                 Change::LogUp => sim.is_log_down = false,
                 Change::Pause(index, until) => sim.nodes[index].paused_until = until,
@@ -225,17 +223,19 @@
 
 /// Runs histories on four threads, and asserts that no unit has two owners and that all are served again.
 fn assert_all_pass(histories: u64) {
-    let run_from = |first: u64| {
-        for seed in (first..histories).step_by(4) {
-            let outcome = History::new(seed).run();
-            assert_eq!(outcome, Outcome::Passed, "seed {seed}");
-        }
+    let run_from = |first: u64| -> Vec<(u64, Outcome)> {
+        let seeds = (first..histories).step_by(4);
+        let outcomes = seeds.map(|seed| (seed, History::new(seed).run()));
+        outcomes
+            .filter(|(_, outcome)| *outcome != Outcome::Passed)
+            .collect()
     };
-    std::thread::scope(|scope| {
-        for first in 0..4 {
-            scope.spawn(move || run_from(first));
-        }
+    let failed: Vec<_> = std::thread::scope(|scope| {
+        let threads = [0, 1, 2, 3].map(|first| scope.spawn(move || run_from(first)));
+        let failed = threads.map(|thread| thread.join().expect("histories end"));
+        failed.into_iter().flatten().collect()
     });
+    assert_eq!(failed, []);
 }
 
 fn incarnation_of(sim: &Simulation, index: usize) -> Incarnation {
