Stop renewing leases while a member joins anew

Cause: a `Join` ends the former incarnation of its VM, and states that it has stopped renewing. That holds for a process that has restarted. A member that joins anew while its process lives (its upstream has restarted, or has another version) went on until it had read the record. If it is cut off from the log in between, together with members that it watches, it renews their leases for as long as the cut lasts, and counts renewals of former witnesses that its new incarnation may not have, while others take the units over.

Change: from the append of the `Join` until it is read, the member answers no heartbeats and counts no renewals. It still sends heartbeats, so that it is not suspected. If the log stops responding in between, its lease ends, and its witnesses renew one less.

--- a/crates/membership/src/agent_witness.rs
+++ b/crates/membership/src/agent_witness.rs
@@ -20,7 +20,8 @@
 
 impl Agent {
     /// Answers a heartbeat. A witness renews only while it has contact with its own witnesses, so
-    /// that a witness that is lost stops renewing by a known time.
+    /// that a witness that is lost stops renewing by a known time. It answers none while it joins anew, since its
+    /// `Join` states that this incarnation has stopped renewing.
     pub(crate) fn answer_heartbeat(
         &mut self,
         now: Duration,
@@ -41,6 +42,9 @@
         // A member that follows a former generation of the log may serve what has another owner in this one.
         let is_current =
             generation_of(heartbeat.next) >= generation_of(self.log.fleet().next_offset());
+        if self.is_joining_anew() {
+            return;
+        }
         let renewal = contact && is_current && self.lease.has_contact(now);
         if renewal {
             self.watched_members.record_renewal(now, &heartbeat.from);
@@ -58,7 +62,14 @@
         actions.push(Action::SendHeartbeatAnswer { answer, to });
     }
 
-    /// Handles the answer of a witness. Pulls records from the witness if it has read more of the log
+    /// Reports whether this member has appended a `Join` that ends its current incarnation. What it does for others or itself
+    /// under this incarnation after the append is not covered by the waits that follow from the record.
+    fn is_joining_anew(&self) -> bool {
+        self.appends.any(|body| matches!(body, Body::Join(_)))
+    }
+
+    /// Handles the answer of a witness. A renewal does not count while this member joins anew, since new owners wait for the
+    /// lease that it had before its `Join`. Pulls records from the witness if it has read more of the log
     /// and this process cannot read the log or does not catch up in time.
     pub(crate) fn handle_heartbeat_answer(
         &mut self,
@@ -67,7 +78,12 @@
         actions: &mut Vec<Action>,
     ) {
         if self.state.witness_incarnation() == Some(answer.incarnation) {
-            self.lease.record_answer(answer);
+            let renewal = answer.renewal && !self.is_joining_anew();
+            let answer = HeartbeatAnswer {
+                renewal,
+                ..answer.clone()
+            };
+            self.lease.record_answer(&answer);
         }
         self.overdue_reads.record_peer(answer.next);
         if let Some(known) = answer.declarations {
--- a/crates/membership/tests/model/main.rs
+++ b/crates/membership/tests/model/main.rs
@@ -6,6 +6,7 @@
 mod fake_upstream;
 mod faults;
 mod node;
+mod rejoins;
 mod replacement;
 mod restores;
 mod rollouts;
