cluster: count what candidates watch only for the candidates

The fold names up to 1.5 sets of witnesses for each member when all processes restart, and counted the members that every member watches for each of them.

--- a/crates/cluster/src/roster_witnesses.rs
+++ b/crates/cluster/src/roster_witnesses.rs
@@ -46,7 +46,7 @@
         let Some(member) = self.members.get(vm) else {
             return BTreeSet::new();
         };
-        choose_witnesses(member, &self.witness_candidates(vm))
+        choose_witnesses(member, &self.as_candidates(vm, self.possible_witnesses(vm)))
     }
 
     /// Names new witnesses for each member whose witnesses can't renew its lease any more, and returns these members.
@@ -76,50 +76,57 @@
         else {
             return BTreeSet::new();
         };
-        let candidates = self.witness_candidates(vm);
+        let others = self.possible_witnesses(vm);
         let returned =
             |other: &Member| supervision.includes_earlier(&other.join.vm, other.incarnation);
         let joined_since = |other: &Member| other.incarnation > supervision.current.named_at;
         let groups: [&dyn Fn(&Member) -> bool; 2] = [&returned, &joined_since];
         let mut preferred = groups.into_iter().map(|includes| {
-            let members = candidates.iter().filter(|other| includes(other.member));
-            members.cloned().collect::<Vec<_>>()
+            let members = others.iter().copied().filter(|other| includes(other));
+            members.collect::<Vec<_>>()
         });
         let preferred = preferred.find(|group| group.len() >= MIN_SUBSTITUTES);
-        choose_witnesses(member, &preferred.unwrap_or(candidates))
+        let candidates = self.as_candidates(vm, preferred.unwrap_or(others));
+        choose_witnesses(member, &candidates)
     }
 
     /// Returns the members that may become witnesses of a member.
-    fn witness_candidates(&self, vm: &VmId) -> Vec<WitnessCandidate<'_>> {
+    fn possible_witnesses(&self, vm: &VmId) -> Vec<&Member> {
         let (Some(member), Some(supervision)) = (self.members.get(vm), self.supervisions.get(vm))
         else {
             return Vec::new();
         };
-        let watched_counts = self.watched_counts(vm);
         self.members
             .values()
             .filter(|other| other.join.region == member.join.region)
             .filter(|other| other.join.vm != *vm)
             .filter(|other| !supervision.was_suspected_by(&other.join.vm, other.incarnation))
-            .map(|member| WitnessCandidate {
-                member,
-                watched_count: watched_counts
-                    .get(&member.join.vm)
-                    .copied()
-                    .unwrap_or_default(),
-            })
             .collect()
     }
 
-    /// Returns, for each witness, the number of members other than `vm` that it is a witness of.
-    fn watched_counts(&self, vm: &VmId) -> BTreeMap<&VmId, usize> {
-        let mut counts = BTreeMap::new();
+    /// Adds to members the number of others than `vm` that they watch.
+    fn as_candidates<'a>(
+        &'a self,
+        vm: &VmId,
+        members: Vec<&'a Member>,
+    ) -> Vec<WitnessCandidate<'a>> {
+        let candidates = members.into_iter().map(|member| {
+            let watched_count = 0;
+            let candidate = WitnessCandidate {
+                member,
+                watched_count,
+            };
+            (&member.join.vm, candidate)
+        });
+        let mut candidates: BTreeMap<&VmId, WitnessCandidate<'_>> = candidates.collect();
         for member in self.members.values().filter(|member| member.join.vm != *vm) {
             for witness in &member.witnesses {
-                *counts.entry(witness).or_default() += 1;
+                if let Some(candidate) = candidates.get_mut(witness) {
+                    candidate.watched_count += 1;
+                }
             }
         }
-        counts
+        candidates.into_values().collect()
     }
 
     pub(crate) fn with_incarnations(
--- a/crates/cluster/src/supervision.rs
+++ b/crates/cluster/src/supervision.rs
@@ -150,7 +150,7 @@
     }
 
     pub(crate) fn was_suspected_by(&self, vm: &VmId, incarnation: Incarnation) -> bool {
-        self.suspecting.contains(&(vm.clone(), incarnation))
+        !self.suspecting.is_empty() && self.suspecting.contains(&(vm.clone(), incarnation))
     }
 
     /// Adds evidence of a witness to each set that includes it, and reports whether any set does.
--- a/crates/cluster/src/witness_choice.rs
+++ b/crates/cluster/src/witness_choice.rs
@@ -18,7 +18,6 @@
 const MAX_WATCHED_MEMBERS: usize = 2 * MAX_WITNESSES;
 
 /// A member that may become a witness.
-#[derive(Clone)]
 pub(crate) struct WitnessCandidate<'a> {
     pub(crate) member: &'a Member,
     /// Number of members that it is already a witness of.
--- a/crates/cluster/src/witness_set.rs
+++ b/crates/cluster/src/witness_set.rs
@@ -73,6 +73,10 @@
     }
 
     fn quorum_wait_ms(&self, counts: impl Fn(Evidence) -> bool) -> Option<u64> {
+        let suspicions = Quorum::of(self.witnesses.len()).suspicions;
+        if self.evidence.len() < suspicions {
+            return None;
+        }
         let mut waits: Vec<u64> = self
             .evidence
             .values()
@@ -80,7 +84,6 @@
             .map(|evidence| evidence.wait_ms())
             .collect();
         waits.sort_unstable();
-        let suspicions = Quorum::of(self.witnesses.len()).suspicions;
         waits.get(suspicions - 1).copied()
     }
 }
