--- a/crates/cluster/src/fold_members.rs
+++ b/crates/cluster/src/fold_members.rs
@@ -33,6 +33,8 @@
         let mut changes = Vec::new();
         let retained = self.take_retained_units(&join);
         let ended = self.roster.end_replaced(&join);
+        // With the new process as its witness, the last member would have no lease until that process renews it.
+        self.roster.release_witnesses_of_last(offset, &ended);
         self.reassign_units_of_ended(offset, &ended, &mut changes);
         changes.push(Change::MemberJoined {
             incarnation: offset,
@@ -40,7 +42,7 @@
         });
         self.reassign_retained_units(offset, &join.vm, retained, &mut changes);
         self.roster.join(offset, join);
-        self.update_witnesses(offset, &ended, &mut changes);
+        self.name_substitutes(offset, &mut changes);
         self.assign_unowned(offset, &mut changes);
         Ok(changes)
     }
@@ -112,7 +114,8 @@
         let ended = self.roster.end_member(vm, reason);
         let mut changes = Vec::new();
         self.reassign_units_of_ended(offset, &ended, &mut changes);
-        self.update_witnesses(offset, &ended, &mut changes);
+        self.roster.release_witnesses_of_last(offset, &ended);
+        self.name_substitutes(offset, &mut changes);
         Ok(changes)
     }
 
@@ -132,18 +135,14 @@
             return Err(format!("`{vm}` is not a witness of any listed member"));
         }
         self.reassign_units_of_ended(offset, &ended, &mut changes);
-        self.update_witnesses(offset, &ended, &mut changes);
+        self.roster.release_witnesses_of_last(offset, &ended);
+        self.name_substitutes(offset, &mut changes);
         Ok(changes)
     }
 
-    /// Updates the witnesses of the remaining members after others have joined or ended, or were suspected.
-    fn update_witnesses(
-        &mut self,
-        offset: Offset,
-        ended: &[EndedMember],
-        changes: &mut Vec<Change>,
-    ) {
-        let named = self.roster.update_witnesses(offset, ended);
+    /// Names witnesses for members that can't be renewed after others have joined or ended, or were suspected.
+    fn name_substitutes(&mut self, offset: Offset, changes: &mut Vec<Change>) {
+        let named = self.roster.name_substitutes(offset);
         changes.extend(named.into_iter().map(|vm| Change::WitnessesNamed { vm }));
     }
 
--- a/crates/cluster/src/roster.rs
+++ b/crates/cluster/src/roster.rs
@@ -287,13 +287,11 @@
         }
     }
 
-    /// Updates witnesses after a record that has added or ended members, or added suspicions. Returns the members that
-    /// were named new witnesses.
-    pub(crate) fn update_witnesses(&mut self, offset: Offset, ended: &[EndedMember]) -> Vec<VmId> {
+    /// Releases the witnesses of each member that has become the last of its region.
+    pub(crate) fn release_witnesses_of_last(&mut self, offset: Offset, ended: &[EndedMember]) {
         for member in ended {
             self.release_witnesses_of_last_member(offset, &member.region);
         }
-        self.name_substitutes(offset)
     }
 
     /// Releases the witnesses of a member that has become the last of its region.
