--- a/crates/cluster/src/fold_members.rs
+++ b/crates/cluster/src/fold_members.rs
@@ -34,8 +34,7 @@
         let retained = self.take_retained_units(&join);
         let ended = self.roster.end_replaced(&join);
         // With the new process as its witness, the last member would have no lease until that process renews it.
-        self.roster.release_witnesses_of_last(offset, &ended);
-        self.reassign_units_of_ended(offset, &ended, &mut changes);
+        self.complete_ends(offset, ended, &mut changes);
         changes.push(Change::MemberJoined {
             incarnation: offset,
             vm: join.vm.clone(),
@@ -113,8 +112,7 @@
         self.check_incarnation(vm, incarnation)?;
         let ended = self.roster.end_member(vm, reason);
         let mut changes = Vec::new();
-        self.reassign_units_of_ended(offset, &ended, &mut changes);
-        self.roster.release_witnesses_of_last(offset, &ended);
+        self.complete_ends(offset, ended, &mut changes);
         self.name_substitutes(offset, &mut changes);
         Ok(changes)
     }
@@ -134,8 +132,7 @@
         if changes.is_empty() {
             return Err(format!("`{vm}` is not a witness of any listed member"));
         }
-        self.reassign_units_of_ended(offset, &ended, &mut changes);
-        self.roster.release_witnesses_of_last(offset, &ended);
+        self.complete_ends(offset, ended, &mut changes);
         self.name_substitutes(offset, &mut changes);
         Ok(changes)
     }
@@ -169,13 +166,14 @@
             .ok_or_else(|| format!("incarnation {incarnation} of `{vm}` is not a member"))
     }
 
-    /// Reassigns the units of ended members to the remaining members.
-    fn reassign_units_of_ended(
+    /// Reassigns the units of ended members to the remaining members, and lets the last member of a region hold alone.
+    fn complete_ends(
         &mut self,
         offset: Offset,
-        ended: &[EndedMember],
+        ended: Vec<EndedMember>,
         changes: &mut Vec<Change>,
     ) {
+        self.roster.release_witnesses_of_last(offset, &ended);
         let mut orphans = Vec::new();
         for member in ended {
             let units = self.units.unassign_all(&member.vm, member.wait_ms);
@@ -187,7 +185,7 @@
             changes.push(Change::MemberEnded {
                 incarnation: member.incarnation,
                 reason: member.reason,
-                vm: member.vm.clone(),
+                vm: member.vm,
             });
         }
         self.assign_units(offset, orphans, changes);
--- a/crates/cluster/src/roster.rs
+++ b/crates/cluster/src/roster.rs
@@ -122,15 +122,16 @@
         for vm in replaced {
             ended.extend(self.end_member(&vm, EndReason::Replaced));
         }
-        self.add_evidence_of_all(&join.vm, &mut ended);
+        self.add_end_of_all_incarnations(&join.vm, &mut ended);
         ended
     }
 
     /// Adds the end of all incarnations of a witness as evidence, also of those that were lost earlier without evidence
     /// of when they stop renewing.
-    fn add_evidence_of_all(&mut self, witness: &VmId, ended: &mut Vec<EndedMember>) {
+    fn add_end_of_all_incarnations(&mut self, witness: &VmId, ended: &mut Vec<EndedMember>) {
         self.add_to_watched(ended, |supervision, lease_ms| {
-            supervision.add_end_of_all(witness, WitnessEnd::Gone.evidence(lease_ms))
+            supervision
+                .add_evidence_of_all_incarnations(witness, WitnessEnd::Gone.evidence(lease_ms))
         });
     }
 
--- a/crates/cluster/src/roster_witnesses.rs
+++ b/crates/cluster/src/roster_witnesses.rs
@@ -9,6 +9,7 @@
 
 use crate::Member;
 use crate::roster::Roster;
+use crate::supervision::Supervision;
 use crate::witness_choice::WitnessCandidate;
 use crate::witness_choice::choose_witnesses;
 use crate::witness_choice::survives_zone_loss;
@@ -43,10 +44,12 @@
 
     /// Returns the witnesses that would be chosen for a member now.
     pub(crate) fn choose_witnesses_of(&self, vm: &VmId) -> BTreeSet<VmId> {
-        let Some(member) = self.members.get(vm) else {
+        let (Some(member), Some(supervision)) = (self.members.get(vm), self.supervisions.get(vm))
+        else {
             return BTreeSet::new();
         };
-        choose_witnesses(member, &self.as_candidates(vm, self.possible_witnesses(vm)))
+        let others = self.possible_witnesses(member, supervision);
+        choose_witnesses(member, &self.as_candidates(vm, others))
     }
 
     /// Names new witnesses for each member whose witnesses can't renew its lease any more, and returns these members.
@@ -76,7 +79,7 @@
         else {
             return BTreeSet::new();
         };
-        let others = self.possible_witnesses(vm);
+        let others = self.possible_witnesses(member, supervision);
         let returned =
             |other: &Member| supervision.includes_earlier(&other.join.vm, other.incarnation);
         let joined_since = |other: &Member| other.incarnation > supervision.current.named_at;
@@ -91,15 +94,11 @@
     }
 
     /// Returns the members that may become witnesses of a member.
-    fn possible_witnesses(&self, vm: &VmId) -> Vec<&Member> {
-        let (Some(member), Some(supervision)) = (self.members.get(vm), self.supervisions.get(vm))
-        else {
-            return Vec::new();
-        };
+    fn possible_witnesses(&self, member: &Member, supervision: &Supervision) -> Vec<&Member> {
         self.members
             .values()
             .filter(|other| other.join.region == member.join.region)
-            .filter(|other| other.join.vm != *vm)
+            .filter(|other| other.join.vm != member.join.vm)
             .filter(|other| !supervision.was_suspected_by(&other.join.vm, other.incarnation))
             .collect()
     }
@@ -111,10 +110,9 @@
         members: Vec<&'a Member>,
     ) -> Vec<WitnessCandidate<'a>> {
         let candidates = members.into_iter().map(|member| {
-            let watched_count = 0;
             let candidate = WitnessCandidate {
                 member,
-                watched_count,
+                watched_count: 0,
             };
             (&member.join.vm, candidate)
         });
--- a/crates/cluster/src/supervision.rs
+++ b/crates/cluster/src/supervision.rs
@@ -161,7 +161,7 @@
         evidence: Evidence,
     ) -> bool {
         let mut included = false;
-        for set in std::iter::once(&mut self.current).chain(&mut self.former) {
+        for set in self.sets_mut() {
             if set.includes(witness, incarnation) {
                 set.add_evidence(witness, evidence);
                 included = true;
@@ -174,9 +174,13 @@
     }
 
     /// Adds evidence that all incarnations of a witness have ended so far, and reports whether any set lacked it.
-    pub(crate) fn add_end_of_all(&mut self, witness: &VmId, evidence: Evidence) -> bool {
+    pub(crate) fn add_evidence_of_all_incarnations(
+        &mut self,
+        witness: &VmId,
+        evidence: Evidence,
+    ) -> bool {
         let mut added = false;
-        for set in std::iter::once(&mut self.current).chain(&mut self.former) {
+        for set in self.sets_mut() {
             if set.lacks_evidence_of(witness) {
                 set.add_evidence(witness, evidence);
                 added = true;
@@ -199,6 +203,10 @@
         })
     }
 
+    fn sets_mut(&mut self) -> impl Iterator<Item = &mut WitnessSet> {
+        std::iter::once(&mut self.current).chain(&mut self.former)
+    }
+
     fn sets(&self) -> impl Iterator<Item = &WitnessSet> {
         std::iter::once(&self.current).chain(&self.former)
     }
--- a/crates/membership/tests/model/faults.rs
+++ b/crates/membership/tests/model/faults.rs
@@ -111,7 +111,7 @@
     }
 }
 
-fn heal(sim: &mut Simulation) {
+pub(crate) fn heal(sim: &mut Simulation) {
     sim.cuts.clear();
     sim.is_log_down = false;
     sim.late_probability = 0.0;
--- a/crates/membership/tests/model/main.rs
+++ b/crates/membership/tests/model/main.rs
@@ -14,6 +14,7 @@
 mod simulated_log;
 mod simulation;
 mod witness_ends;
+mod witness_histories;
 
 use ids::Unit;
 
